--- /dev/null
+++ b/cmd/guava-standin/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/coordination/traffic/reason.go
@@ -0,0 +1,6 @@
+package traffic
+
+// Reasons.
+const (
+	ReasonNone Reason = iota
+)
--- /dev/null
+++ b/internal/coordination/traffic/types.go
@@ -0,0 +1,87 @@
+// Package traffic decides what happens to each packet: it owns the flow
+// records, places new flows on targets and relays what another host owns.
+// It is pure: time, the snapshot and the random source are passed in, and
+// decisions are returned. It does no I/O and starts no goroutine.
+package traffic
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// PacketKind is the part that a packet plays in its flow.
+type PacketKind uint8
+
+// Packet kinds. UDP packets are KindDatagram, which may open a flow.
+const (
+	KindOpening PacketKind = iota
+	KindData
+	KindClosing
+	KindReset
+	KindDatagram
+)
+
+// Packet is an arriving packet, stripped to what decisions need.
+type Packet struct {
+	Key         state.FlowKey
+	Fingerprint state.Fingerprint
+	Kind        PacketKind
+	// Size is the length of the IP packet in bytes.
+	Size int
+	// Payload is the length of the transport payload in bytes.
+	Payload int
+	// Progress changes whenever the caller sends something new or acknowledges
+	// something new; a repeated value marks a retransmission.
+	Progress uint64
+	// Relayed is true for packets from another entry host; Relay is its header.
+	Relayed bool
+	Relay   relay.Header
+}
+
+// Verb is what the edge does with a packet.
+type Verb uint8
+
+// Verbs.
+const (
+	// VerbDrop discards the packet and counts Reason.
+	VerbDrop Verb = iota
+	// VerbForward sends the packet to the target's address.
+	VerbForward
+	// VerbRelay sends the packet with the relay header to a host.
+	VerbRelay
+	// VerbRefuse answers the caller: RST, or ICMP unreachable, with RetryAfter.
+	VerbRefuse
+	// VerbReset answers the caller of a silent flow with a RST.
+	VerbReset
+)
+
+// Notice is a record message to another host, without a packet.
+type Notice struct {
+	To     state.HostID
+	Header relay.Header
+}
+
+// MaxNotices bounds the notices that one packet causes.
+const MaxNotices = 3
+
+// Decision is the outcome of one packet.
+type Decision struct {
+	Verb   Verb
+	Reason Reason
+	// Target is set for VerbForward.
+	Target *state.TargetEntry
+	// To and Header are set for VerbRelay.
+	To     state.HostID
+	Header relay.Header
+	// RetryAfter tells a refused caller when to come back.
+	RetryAfter time.Duration
+	// Notices[:NoticeCount] are to be sent besides.
+	Notices     [MaxNotices]Notice
+	NoticeCount int
+}
+
+// Reason names why a packet was dropped, refused, relayed or reset; one
+// expvar counter exists for each. The names are in reason.go.
+type Reason uint8
--- /dev/null
+++ b/internal/protocol/rpcapi/rpcapi.go
@@ -0,0 +1,111 @@
+// Package rpcapi defines the net/rpc interface of guavad: messages between
+// entry hosts (service "Peer") and reads for operators (service "Operator").
+package rpcapi
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Version is the version of this interface; calls of another are refused and
+// counted.
+const Version = 1
+
+// Method names.
+const (
+	MethodDeliver  = "Peer.Deliver"
+	MethodHosts    = "Operator.Hosts"
+	MethodTargets  = "Operator.Targets"
+	MethodFlows    = "Operator.Flows"
+	MethodCounters = "Operator.Counters"
+)
+
+// Envelope carries one message between entry hosts. Message is gob-encoded as
+// an interface; the control package registers the concrete types.
+type Envelope struct {
+	Version int
+	From    state.Host
+	Message any
+}
+
+// Ack answers Deliver.
+type Ack struct {
+	Accepted bool
+	Reason   string
+}
+
+// Query asks an operator's question.
+type Query struct {
+	Version int
+	// Service filters targets and flows; empty means all.
+	Service state.ServiceID
+}
+
+// HostRow is one entry host as the answering host believes it.
+type HostRow struct {
+	Host        state.Host
+	Status      string
+	Incarnation uint64
+	Version     state.ReleaseVersion
+}
+
+// HostsReply answers Operator.Hosts.
+type HostsReply struct {
+	Answering state.HostID
+	Version   state.ReleaseVersion
+	Ready     bool
+	// Awaited says what a host that is not ready waits for.
+	Awaited string
+	Rows    []HostRow
+}
+
+// TargetRow is one target as the answering host sees it.
+type TargetRow struct {
+	Service    state.ServiceID
+	Target     state.TargetID
+	Domain     state.DomainID
+	Address    string
+	Leaving    bool
+	Withdrawn  bool
+	Ejected    bool
+	ShareMilli uint32
+	OpenFlows  int64
+	Openings   int64
+}
+
+// TargetsReply answers Operator.Targets.
+type TargetsReply struct {
+	Answering state.HostID
+	Version   state.ReleaseVersion
+	Rows      []TargetRow
+}
+
+// FlowRow counts the flows of a service that the answering host owns.
+type FlowRow struct {
+	Service  state.ServiceID
+	Customer state.CustomerID
+	Way      string
+	Open     int64
+	Opened   int64
+	Refused  int64
+}
+
+// FlowsReply answers Operator.Flows.
+type FlowsReply struct {
+	Answering state.HostID
+	Rows      []FlowRow
+}
+
+// Counter is one named counter.
+type Counter struct {
+	Name  string
+	Value int64
+}
+
+// CountersReply answers Operator.Counters; rows are sorted by name.
+type CountersReply struct {
+	Answering state.HostID
+	At        time.Time
+	Rows      []Counter
+}
