Add the stand-in for the platform's object service

Tests of the platform client, of release agreement and of whole daemons need an object service whose faults they choose. A mock of the client would skip the HTTP binding, so the stand-in serves the binding itself: versions, conditional updates, lists, long-poll watches, the size and rate limits, call counters, and faults (down, slow, answer lost after the write, request lost before it) for a number of calls, a key prefix or until cleared. It runs as a verb of guava-standin and in the process of a test.

--- a/cmd/guava-standin/main.go
+++ b/cmd/guava-standin/main.go
@@ -1,3 +1,57 @@
+// Command guava-standin runs the stand-ins that development and tests use in
+// place of the platform, the upstreams and the callers with their fabric.
 package main
 
-func main() {}
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// version is set by the linker.
+var version = "development"
+
+// verb is one subcommand: its flags and what it runs.
+type verb interface {
+	subcommand() *flaggy.Subcommand
+	run(ctx context.Context, log *slog.Logger) int
+}
+
+func main() {
+	verbs := []verb{newPlatformVerb()}
+	parser := flaggy.NewParser("guava-standin")
+	parser.Description = "Stand-ins for the platform, upstreams and callers; development and tests only."
+	parser.Version = version
+	subcommands := make([]*flaggy.Subcommand, len(verbs))
+	for i, v := range verbs {
+		subcommands[i] = v.subcommand()
+		parser.AttachSubcommand(subcommands[i], 1)
+	}
+	if err := parser.Parse(); err != nil {
+		os.Exit(exitUsage)
+	}
+	for i, v := range verbs {
+		if subcommands[i].Used {
+			os.Exit(runVerb(v))
+		}
+	}
+	parser.ShowHelp()
+	os.Exit(exitUsage)
+}
+
+func runVerb(v verb) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return v.run(ctx, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+}
--- /dev/null
+++ b/cmd/guava-standin/platform.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/guavawharf/guavawharf/internal/standin/platform"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Default rates of the platform in calls a second.
+const (
+	defaultReadsPerSecond  = 2000
+	defaultWritesPerSecond = 400
+)
+
+// platformVerb serves the platform's object API.
+type platformVerb struct {
+	listen string
+	hosts  string
+	reads  float64
+	writes float64
+}
+
+func newPlatformVerb() *platformVerb {
+	return &platformVerb{
+		listen: "127.0.0.1:7900",
+		reads:  defaultReadsPerSecond,
+		writes: defaultWritesPerSecond,
+	}
+}
+
+func (v *platformVerb) subcommand() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("platform")
+	sc.Description = "Serve the object API: versions, conditional updates, watches, faults."
+	sc.AdditionalHelpAppend = "Example: guava-standin platform --listen 127.0.0.1:7900 --hosts hosts.json"
+	sc.String(&v.listen, "l", "listen", "IP:port to serve on")
+	sc.String(&v.hosts, "", "hosts", "JSON file with the list of entry hosts")
+	sc.Float64(&v.reads, "", "reads", "reads a second, 0 for no limit")
+	sc.Float64(&v.writes, "", "writes", "writes a second, 0 for no limit")
+	return sc
+}
+
+func (v *platformVerb) run(ctx context.Context, log *slog.Logger) int {
+	options := platform.Options{Listen: v.listen, ReadsPerSecond: v.reads, WritesPerSecond: v.writes}
+	server, err := platform.New(options)
+	if err != nil {
+		log.Error("platform.listen_failed", "error", err)
+		return exitFailed
+	}
+	defer func() { _ = server.Close() }()
+	if err := v.seedHosts(server); err != nil {
+		log.Error("platform.hosts_failed", "error", err)
+		return exitUsage
+	}
+	log.Info("platform.serving", "url", server.URL())
+	<-ctx.Done()
+	log.Info("platform.stopped", "counters", server.Counters())
+	return exitOK
+}
+
+func (v *platformVerb) seedHosts(server *platform.Server) error {
+	if v.hosts == "" {
+		return nil
+	}
+	content, err := os.ReadFile(v.hosts)
+	if err != nil {
+		return err
+	}
+	var list objects.HostList
+	if err := json.Unmarshal(content, &list); err != nil {
+		return err
+	}
+	_, err = server.Put(objects.KeyHosts, list)
+	return err
+}
