--- /dev/null
+++ b/internal/standin/callers/fabric.go
@@ -0,0 +1,99 @@
+package callers
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+)
+
+const (
+	socketBuffer = 4 << 20
+	maxDatagram  = 65535
+	// ipv4CallerByte and ipv6CallerByte are the bytes of an answer's destination
+	// address that tell the worker.
+	ipv4CallerByte = 17
+	ipv6CallerByte = 27
+)
+
+// fabric carries packets between the workers and the entry hosts, and answers
+// back. Loss, delay and the choice of host are up to the workers.
+type fabric struct {
+	socket   *net.UDPConn
+	hosts    []netip.AddrPort
+	sent     atomic.Int64
+	lost     atomic.Int64
+	received atomic.Int64
+	stray    atomic.Int64
+}
+
+func newFabric(listen netip.AddrPort, hosts []netip.AddrPort) (*fabric, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, err
+	}
+	if err := socket.SetReadBuffer(socketBuffer); err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	return &fabric{socket: socket, hosts: hosts}, nil
+}
+
+func (f *fabric) send(host int, data []byte) {
+	f.sent.Add(1)
+	// A failed write is a lost packet; the endpoints retransmit.
+	_, _ = f.socket.WriteToUDPAddrPort(data, f.hosts[host])
+}
+
+// read passes each answer to its worker's inbox until the socket is closed.
+func (f *fabric) read(workers []*worker) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, err := f.socket.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		f.received.Add(1)
+		index, ok := workerOf(buffer[:n])
+		if !ok || index >= len(workers) {
+			f.stray.Add(1)
+			continue
+		}
+		select {
+		case workers[index].inbox <- append([]byte(nil), buffer[:n]...):
+		default:
+			f.lost.Add(1)
+		}
+	}
+}
+
+// workerOf reads the worker from the packet's destination address.
+func workerOf(data []byte) (int, bool) {
+	if len(data) > ipv4CallerByte && data[0]>>4 == 4 {
+		return int(data[ipv4CallerByte]) - 1, data[ipv4CallerByte] > 0
+	}
+	if len(data) > ipv6CallerByte && data[0]>>4 == 6 {
+		return int(data[ipv6CallerByte]) - 1, data[ipv6CallerByte] > 0
+	}
+	return 0, false
+}
+
+const (
+	portsPerAddress = 50_000
+	firstPort       = 10_000
+)
+
+// callerAddress is the n-th address of a worker, in the service's family.
+func callerAddress(worker, n int, service netip.Addr) netip.AddrPort {
+	host := n / portsPerAddress
+	port := uint16(firstPort + n%portsPerAddress)
+	high, low := byte(host>>8), byte(host)
+	if service.Is4() {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(worker + 1), high, low + 1}), port)
+	}
+	address := [16]byte{0: 0xfd, 3: byte(worker + 1), 14: high, 15: low + 1}
+	return netip.AddrPortFrom(netip.AddrFrom16(address), port)
+}
--- /dev/null
+++ b/internal/standin/callers/report.go
@@ -0,0 +1,141 @@
+package callers
+
+import (
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Cause is why a flow broke.
+type Cause string
+
+// Causes.
+const (
+	// CauseReset is a RST, or ICMP, after the flow was open.
+	CauseReset Cause = "reset"
+	// CauseTimeout is data that was never acknowledged.
+	CauseTimeout Cause = "timeout"
+	// CauseUnanswered is an opening that was never answered.
+	CauseUnanswered Cause = "unanswered opening"
+	// CauseStalled is an answer that never became whole.
+	CauseStalled Cause = "stalled"
+	// CauseCrossed is an answer to another request.
+	CauseCrossed Cause = "crossed"
+	// CauseMoved is a UDP flow that another target answered.
+	CauseMoved Cause = "moved"
+	// CauseUnfinished is a flow that was open at the end of the run.
+	CauseUnfinished Cause = "unfinished"
+)
+
+// CauseCount counts the flows that broke by one cause.
+type CauseCount struct {
+	Cause Cause `json:"cause"`
+	Count int   `json:"count"`
+}
+
+// GroupReport is what the callers of a group saw.
+type GroupReport struct {
+	Name string `json:"name"`
+	// Flows were started. Each is Answered (whole), Refused for good or Broken.
+	Flows    int          `json:"flows"`
+	Answered int          `json:"answered"`
+	Refused  int          `json:"refused"`
+	Broken   int          `json:"broken"`
+	BrokenBy []CauseCount `json:"broken_by"`
+	// Requests were answered whole.
+	Requests int `json:"requests"`
+	// Refusals counts openings refused, also of flows that were let in later.
+	Refusals int `json:"refusals"`
+	// RefusalsWithout counts refusals that said no time to come back.
+	RefusalsWithout int `json:"refusals_without_retry_after"`
+	// Shed counts requests that a target answered with "not run".
+	Shed        int `json:"shed"`
+	Retransmits int `json:"retransmits"`
+	// UncleanCloses counts whole flows whose close was not acknowledged.
+	UncleanCloses int `json:"unclean_closes"`
+	// Answer times in microseconds, from request to whole answer.
+	AnswerP50 int64 `json:"answer_p50_us"`
+	AnswerP99 int64 `json:"answer_p99_us"`
+	AnswerMax int64 `json:"answer_max_us"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed   uint64        `json:"seed"`
+	Groups []GroupReport `json:"groups"`
+	// Sent, Lost and Received count packets of the fabric.
+	Sent     int64 `json:"packets_sent"`
+	Lost     int64 `json:"packets_lost"`
+	Received int64 `json:"packets_received"`
+	// Stray counts packets for flows that are over or never were.
+	Stray    int64         `json:"packets_stray"`
+	Duration time.Duration `json:"duration_ns"`
+}
+
+// Total adds the groups up, without the answer times.
+func (r Report) Total() GroupReport {
+	total := GroupReport{Name: "total"}
+	for _, g := range r.Groups {
+		total.Flows += g.Flows
+		total.Answered += g.Answered
+		total.Refused += g.Refused
+		total.Broken += g.Broken
+		total.Requests += g.Requests
+		total.Refusals += g.Refusals
+		total.RefusalsWithout += g.RefusalsWithout
+		total.Shed += g.Shed
+		total.Retransmits += g.Retransmits
+		total.UncleanCloses += g.UncleanCloses
+	}
+	return total
+}
+
+const (
+	maxAnswerMicros   = int64(time.Minute / time.Microsecond)
+	significantDigits = 2
+)
+
+// tally is one worker's share of a GroupReport.
+type tally struct {
+	report GroupReport
+	broken map[Cause]int
+	times  *hdrhistogram.Histogram
+}
+
+func newTally(name string) *tally {
+	return &tally{
+		report: GroupReport{Name: name},
+		broken: make(map[Cause]int),
+		times:  hdrhistogram.New(1, maxAnswerMicros, significantDigits),
+	}
+}
+
+func (t *tally) answerTime(d time.Duration) {
+	micros := min(max(d.Microseconds(), 1), maxAnswerMicros)
+	// The value is within the histogram's range, so that no error can come.
+	_ = t.times.RecordValue(micros)
+}
+
+func (t *tally) merge(other *tally) {
+	t.report = Report{Groups: []GroupReport{t.report, other.report}}.Total()
+	for cause, count := range other.broken {
+		t.broken[cause] += count
+	}
+	t.times.Merge(other.times)
+}
+
+func (t *tally) finish(name string) GroupReport {
+	r := t.report
+	r.Name = name
+	r.AnswerP50 = t.times.ValueAtQuantile(50)
+	r.AnswerP99 = t.times.ValueAtQuantile(99)
+	r.AnswerMax = t.times.Max()
+	r.BrokenBy = []CauseCount{}
+	for cause, count := range t.broken {
+		r.Broken += count
+		r.BrokenBy = append(r.BrokenBy, CauseCount{Cause: cause, Count: count})
+	}
+	sort.Slice(r.BrokenBy, func(i, j int) bool { return r.BrokenBy[i].Cause < r.BrokenBy[j].Cause })
+	return r
+}
--- /dev/null
+++ b/internal/standin/exchange/exchange.go
@@ -0,0 +1,134 @@
+// Package exchange is the request protocol between the stand-in callers and
+// upstreams. A request and an answer are each a fixed header; an answer's body
+// is a pattern of its request's id, so that a caller can tell its own answer
+// from another's.
+package exchange
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// Kind is the kind of a request.
+type Kind uint8
+
+// Request kinds.
+const (
+	// Fetch may run any number of times.
+	Fetch Kind = 1
+	// Deposit must run at most once.
+	Deposit Kind = 2
+)
+
+// Status is the outcome of a request.
+type Status uint8
+
+// Answer statuses.
+const (
+	// Done means the request was run.
+	Done Status = 1
+	// NotRun means the request was shed and not run.
+	NotRun Status = 2
+)
+
+// Sizes of the encoded headers in bytes.
+const (
+	RequestSize      = 20
+	AnswerHeaderSize = 24
+)
+
+const (
+	requestMagic = 0x47575251
+	answerMagic  = 0x47574152
+)
+
+// ErrMagic means the bytes are not a request or not an answer.
+var ErrMagic = errors.New("unknown magic number")
+
+// Request asks for an answer with a body of AnswerSize bytes.
+type Request struct {
+	ID         uint64
+	Kind       Kind
+	AnswerSize uint32
+}
+
+// Encode returns the request's bytes.
+func (r Request) Encode() []byte {
+	b := make([]byte, RequestSize)
+	binary.BigEndian.PutUint32(b[0:], requestMagic)
+	b[4] = byte(r.Kind)
+	binary.BigEndian.PutUint64(b[8:], r.ID)
+	binary.BigEndian.PutUint32(b[16:], r.AnswerSize)
+	return b
+}
+
+// DecodeRequest reads the request at the start of b, which must hold at least
+// RequestSize bytes.
+func DecodeRequest(b []byte) (Request, error) {
+	if binary.BigEndian.Uint32(b) != requestMagic {
+		return Request{}, ErrMagic
+	}
+	return Request{
+		Kind:       Kind(b[4]),
+		ID:         binary.BigEndian.Uint64(b[8:]),
+		AnswerSize: binary.BigEndian.Uint32(b[16:]),
+	}, nil
+}
+
+// Answer is the header of an answer; Size bytes of body follow it.
+type Answer struct {
+	ID     uint64
+	Status Status
+	Size   uint32
+	// Target numbers the upstream within its stand-in process.
+	Target uint32
+}
+
+// Encode returns the header and the body.
+func (a Answer) Encode() []byte {
+	b := make([]byte, AnswerHeaderSize+int(a.Size))
+	binary.BigEndian.PutUint32(b[0:], answerMagic)
+	b[4] = byte(a.Status)
+	binary.BigEndian.PutUint64(b[8:], a.ID)
+	binary.BigEndian.PutUint32(b[16:], a.Size)
+	binary.BigEndian.PutUint32(b[20:], a.Target)
+	fill(b[AnswerHeaderSize:], a.ID)
+	return b
+}
+
+// DecodeAnswer reads the header at the start of b, which must hold at least
+// AnswerHeaderSize bytes.
+func DecodeAnswer(b []byte) (Answer, error) {
+	if binary.BigEndian.Uint32(b) != answerMagic {
+		return Answer{}, ErrMagic
+	}
+	return Answer{
+		Status: Status(b[4]),
+		ID:     binary.BigEndian.Uint64(b[8:]),
+		Size:   binary.BigEndian.Uint32(b[16:]),
+		Target: binary.BigEndian.Uint32(b[20:]),
+	}, nil
+}
+
+// BodyMatches tells whether the body is that of the request's own answer.
+func BodyMatches(body []byte, id uint64) bool {
+	for i := range body {
+		if body[i] != pattern(id, i) {
+			return false
+		}
+	}
+	return true
+}
+
+func fill(body []byte, id uint64) {
+	for i := range body {
+		body[i] = pattern(id, i)
+	}
+}
+
+// pattern differs between ids and between positions.
+func pattern(id uint64, i int) byte {
+	const multiplier = 0x9e3779b97f4a7c15
+	x := (id + uint64(i/8)) * multiplier
+	return byte(x >> (8 * (i % 8)))
+}
--- /dev/null
+++ b/internal/standin/stream/conn_test.go
@@ -0,0 +1,136 @@
+package stream
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/standin/wire"
+)
+
+// link carries segments both ways and loses, repeats and reorders some.
+type link struct {
+	random   *rand.Rand
+	loss     float64
+	shuffled bool
+	now      time.Time
+	caller   *Conn
+	server   *Conn
+	got      [2][]byte
+}
+
+func (l *link) lost() bool { return l.random.Float64() < l.loss }
+
+// round moves all waiting segments once and lets a little time pass.
+func (l *link) round() {
+	l.now = l.now.Add(10 * time.Millisecond)
+	l.caller.Tick(l.now)
+	for _, s := range l.pick(l.caller.Take()) {
+		l.toServer(s)
+	}
+	if l.server == nil {
+		return
+	}
+	l.server.Tick(l.now)
+	for _, s := range l.pick(l.server.Take()) {
+		l.got[0] = append(l.got[0], l.caller.Receive(l.now, s)...)
+	}
+}
+
+func (l *link) toServer(s Segment) {
+	if l.server == nil {
+		if s.Flags.Has(wire.SYN) {
+			l.server = Accept(l.now, 1<<32-1, s)
+		}
+		return
+	}
+	l.got[1] = append(l.got[1], l.server.Receive(l.now, s)...)
+}
+
+func (l *link) pick(sent []Segment) []Segment {
+	var picked []Segment
+	for _, s := range sent {
+		s.Payload = bytes.Clone(s.Payload)
+		if !l.lost() {
+			picked = append(picked, s)
+		}
+		if l.lost() {
+			picked = append(picked, s)
+		}
+	}
+	if l.shuffled {
+		l.random.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
+	}
+	return picked
+}
+
+func TestWholeTransferOverBadLink(t *testing.T) {
+	for seed := uint64(1); seed <= 200; seed++ {
+		random := rand.New(rand.NewPCG(seed, 0))
+		l := &link{
+			random:   random,
+			loss:     0.1,
+			shuffled: seed%2 == 0,
+			now:      time.Unix(0, 0),
+		}
+		l.caller = Dial(l.now, random.Uint32())
+		question := bytes.Repeat([]byte{1, 2, 3}, 1000)
+		answer := bytes.Repeat([]byte{4, 5, 6, 7}, 20_000)
+		l.caller.Write(l.now, question)
+		written := false
+		for range 20_000 {
+			l.round()
+			if l.server != nil && !written && len(l.got[1]) == len(question) {
+				l.server.Write(l.now, answer)
+				l.server.Close(l.now)
+				written = true
+			}
+			if len(l.got[0]) == len(answer) {
+				l.caller.Close(l.now)
+			}
+			if l.caller.State().Ended() && l.server.State().Ended() {
+				break
+			}
+		}
+		require.Equal(t, Closed, l.caller.State(), "seed %d", seed)
+		require.True(t, bytes.Equal(answer, l.got[0]), "seed %d", seed)
+		require.True(t, bytes.Equal(question, l.got[1]), "seed %d", seed)
+	}
+}
+
+func TestRefusalCarriesData(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := Dial(now, 100)
+	c.Receive(now, Segment{Flags: wire.RST | wire.ACK, Ack: 55, Payload: []byte("x")})
+	require.Equal(t, Opening, c.State())
+	c.Receive(now, Segment{Flags: wire.RST | wire.ACK, Ack: 101, Payload: []byte("later")})
+	require.Equal(t, Refused, c.State())
+	require.Equal(t, "later", string(c.Refusal()))
+}
+
+func TestResetMustBeInWindow(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := Accept(now, 9, Segment{Flags: wire.SYN, Seq: 500})
+	c.Receive(now, Segment{Flags: wire.ACK, Seq: 501, Ack: 10})
+	require.Equal(t, Open, c.State())
+	c.Receive(now, Segment{Flags: wire.RST, Seq: 400})
+	require.Equal(t, Open, c.State())
+	c.Receive(now, Segment{Flags: wire.RST, Seq: 501})
+	require.Equal(t, Reset, c.State())
+}
+
+func TestSilenceEndsAfterBackoff(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := Dial(now, 1)
+	sent := len(c.Take())
+	for c.State() == Opening {
+		now = c.Deadline()
+		c.Tick(now)
+		sent += len(c.Take())
+	}
+	require.Equal(t, TimedOut, c.State())
+	require.Equal(t, maxAttempts, sent)
+}
--- /dev/null
+++ b/internal/standin/stream/receive.go
@@ -0,0 +1,154 @@
+package stream
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/standin/wire"
+)
+
+// Receive takes a segment of the peer and returns the new data in order; it
+// aliases the segment's payload.
+func (c *Conn) Receive(now time.Time, s Segment) []byte {
+	switch {
+	case c.state.Ended():
+		c.receiveEnded(s)
+		return nil
+	case s.Flags.Has(wire.RST):
+		c.receiveReset(s)
+		return nil
+	case c.state == Opening:
+		return c.receiveOpening(now, s)
+	case s.Flags.Has(wire.SYN):
+		c.receiveAgain(now)
+		return nil
+	}
+	if s.Flags.Has(wire.ACK) {
+		c.receiveAck(now, s)
+	}
+	if c.state.Ended() {
+		return nil
+	}
+	return c.receiveData(now, s)
+}
+
+// receiveEnded answers a retransmitted FIN, whose acknowledgment was lost.
+func (c *Conn) receiveEnded(s Segment) {
+	if c.state == Closed && s.Flags.Has(wire.FIN) {
+		c.acknowledge()
+	}
+}
+
+func (c *Conn) receiveReset(s Segment) {
+	if c.state == Opening {
+		if s.Ack == c.highest {
+			c.refusal = append([]byte(nil), s.Payload...)
+			c.end(Refused)
+		}
+		return
+	}
+	if !before(s.Seq, c.expected) && before(s.Seq, c.expected+window) {
+		c.end(Reset)
+	}
+}
+
+func (c *Conn) receiveOpening(now time.Time, s Segment) []byte {
+	if !s.Flags.Has(wire.SYN|wire.ACK) || s.Ack != c.una+1 {
+		return nil
+	}
+	c.expected = s.Seq + 1
+	c.opened(now)
+	c.acknowledge()
+	c.transmit(now)
+	return nil
+}
+
+func (c *Conn) opened(now time.Time) {
+	c.state = Open
+	c.una++
+	c.next = c.una
+	c.progress(now)
+}
+
+// receiveAgain answers a repeated SYN or SYN-ACK.
+func (c *Conn) receiveAgain(now time.Time) {
+	if c.state == Accepting {
+		c.sendHandshake(now, wire.SYN|wire.ACK)
+		return
+	}
+	c.acknowledge()
+}
+
+func (c *Conn) receiveAck(now time.Time, s Segment) {
+	if c.state == Accepting {
+		if s.Ack != c.una+1 {
+			return
+		}
+		c.opened(now)
+	}
+	switch {
+	case before(c.una, s.Ack) && !before(c.highest, s.Ack):
+		c.acked(now, s.Ack)
+	case s.Ack == c.una && len(s.Payload) == 0 && c.una != c.highest && !s.Flags.Has(wire.FIN):
+		c.duplicate(now)
+	}
+	c.transmit(now)
+}
+
+func (c *Conn) acked(now time.Time, ack uint32) {
+	count := int(ack - c.una)
+	if count > len(c.buffer) {
+		c.finAcked = true
+		count = len(c.buffer)
+	}
+	c.buffer = c.buffer[count:]
+	c.una = ack
+	if before(c.next, ack) {
+		c.next = ack
+	}
+	c.progress(now)
+	c.closeIfDone()
+}
+
+// progress restarts the retransmission timer after an acknowledgment.
+func (c *Conn) progress(now time.Time) {
+	c.attempts = 0
+	c.duplicates = 0
+	c.timeout = initialTimeout
+	c.deadline = time.Time{}
+	if c.una != c.next {
+		c.deadline = now.Add(c.timeout)
+	}
+}
+
+func (c *Conn) duplicate(now time.Time) {
+	c.duplicates++
+	if c.duplicates == duplicateAcks {
+		c.retransmit(now)
+	}
+}
+
+// receiveData takes data and FIN when they are the next in order.
+func (c *Conn) receiveData(now time.Time, s Segment) []byte {
+	fin := s.Flags.Has(wire.FIN)
+	if len(s.Payload) == 0 && !fin {
+		return nil
+	}
+	if c.state != Open || s.Seq != c.expected || c.finReceived {
+		c.acknowledge()
+		return nil
+	}
+	c.expected += uint32(len(s.Payload))
+	if fin {
+		c.expected++
+		c.finReceived = true
+	}
+	c.acknowledge()
+	c.closeIfDone()
+	return s.Payload
+}
+
+func (c *Conn) closeIfDone() {
+	if c.finAcked && c.finReceived {
+		c.end(Closed)
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream/fleet.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Fleet is the upstreams of one process; they share a Ledger.
+type Fleet struct {
+	targets []*Target
+	ledger  *Ledger
+}
+
+// NewFleet starts the upstreams. Their answers go to back. Close ends them.
+func NewFleet(options []Options, back netip.AddrPort) (*Fleet, error) {
+	f := &Fleet{ledger: NewLedger()}
+	for i, o := range options {
+		target, err := newTarget(o, uint32(i), f.ledger, back)
+		if err != nil {
+			f.Close()
+			return nil, fmt.Errorf("upstream %s: %w", o.ID, err)
+		}
+		f.targets = append(f.targets, target)
+	}
+	return f, nil
+}
+
+// ErrUnknownTarget means that no upstream has the id.
+var ErrUnknownTarget = errors.New("unknown target")
+
+// Target returns the upstream with the id.
+func (f *Fleet) Target(id state.TargetID) (*Target, error) {
+	for _, t := range f.targets {
+		if t.options.ID == id {
+			return t, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: %s", ErrUnknownTarget, id)
+}
+
+// Counts returns the counts of all upstreams in the order of the options.
+func (f *Fleet) Counts() []Counts {
+	all := make([]Counts, len(f.targets))
+	for i, t := range f.targets {
+		all[i] = t.Counts()
+	}
+	return all
+}
+
+// Close ends the upstreams.
+func (f *Fleet) Close() {
+	for _, t := range f.targets {
+		t.close()
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream/reporter.go
@@ -0,0 +1,181 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/platformapi"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// ReporterOptions sets up a Reporter.
+type ReporterOptions struct {
+	// Platform is the base URL of the platform's object service.
+	Platform string
+	// Interval is the time between reports, Lag their age when written.
+	Interval time.Duration
+	Lag      time.Duration
+}
+
+// Reporter writes the fleet's health and load to the platform. It keeps the
+// entries of targets that belong to other processes.
+type Reporter struct {
+	options ReporterOptions
+	fleet   *Fleet
+	log     *slog.Logger
+	client  *http.Client
+	pending []report
+}
+
+type report struct {
+	at    time.Time
+	loads []objects.TargetLoad
+}
+
+const reportTimeout = 2 * time.Second
+
+// NewReporter returns a Reporter of the fleet; Run starts it.
+func NewReporter(fleet *Fleet, options ReporterOptions, log *slog.Logger) *Reporter {
+	return &Reporter{
+		options: options,
+		fleet:   fleet,
+		log:     log,
+		client:  &http.Client{Timeout: reportTimeout},
+	}
+}
+
+// Run reports until the context ends.
+func (r *Reporter) Run(ctx context.Context) {
+	ticker := time.NewTicker(r.options.Interval)
+	defer ticker.Stop()
+	for {
+		r.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// step takes a report and writes the newest one that is as old as the lag.
+func (r *Reporter) step(ctx context.Context, now time.Time) {
+	r.pending = append(r.pending, report{at: now, loads: r.fleet.loads(now)})
+	due := -1
+	for i, p := range r.pending {
+		if now.Sub(p.at) >= r.options.Lag {
+			due = i
+		}
+	}
+	if due < 0 {
+		return
+	}
+	loads := r.pending[due].loads
+	r.pending = r.pending[due+1:]
+	if err := r.write(ctx, loads); err != nil {
+		r.log.Warn("upstream.report_failed", "error", err)
+	}
+}
+
+func (r *Reporter) write(ctx context.Context, loads []objects.TargetLoad) error {
+	current, err := r.read(ctx)
+	if err != nil {
+		return err
+	}
+	list := objects.LoadList{}
+	if current.Version > 0 {
+		if err := json.Unmarshal(current.Value, &list); err != nil {
+			return err
+		}
+	}
+	list.Loads = merge(list.Loads, loads)
+	body, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	url := fmt.Sprintf("%s%s/%s?version=%d", r.options.Platform, platformapi.PathObjects, objects.KeyLoads, current.Version)
+	_, err = r.call(ctx, http.MethodPut, url, body)
+	return err
+}
+
+// read returns the stored list; version 0 means there is none yet.
+func (r *Reporter) read(ctx context.Context) (objects.Object, error) {
+	url := r.options.Platform + platformapi.PathObjects + "/" + objects.KeyLoads
+	return r.call(ctx, http.MethodGet, url, nil)
+}
+
+func (r *Reporter) call(ctx context.Context, method, url string, body []byte) (objects.Object, error) {
+	var object objects.Object
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return object, err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return object, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return object, json.NewDecoder(response.Body).Decode(&object)
+	case http.StatusNotFound:
+		return object, nil
+	}
+	return object, fmt.Errorf("%s %s: status %d", method, url, response.StatusCode)
+}
+
+// merge replaces the entries of the reported targets.
+func merge(stored, reported []objects.TargetLoad) []objects.TargetLoad {
+	own := make(map[state.TargetID]bool, len(reported))
+	for _, load := range reported {
+		own[load.Target] = true
+	}
+	merged := append([]objects.TargetLoad{}, reported...)
+	for _, load := range stored {
+		if !own[load.Target] {
+			merged = append(merged, load)
+		}
+	}
+	return merged
+}
+
+// loads returns the reports of all upstreams of the fleet.
+func (f *Fleet) loads(now time.Time) []objects.TargetLoad {
+	all := make([]objects.TargetLoad, len(f.targets))
+	for i, t := range f.targets {
+		all[i] = t.report(now)
+	}
+	return all
+}
+
+func (t *Target) report(now time.Time) objects.TargetLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	load := objects.TargetLoad{
+		Target:   t.options.ID,
+		Healthy:  !t.faults.Down,
+		Draining: t.faults.Draining,
+		Load:     t.load(),
+		At:       now,
+	}
+	if t.faults.ReportHealthy != nil {
+		load.Healthy = *t.faults.ReportHealthy
+	}
+	if t.faults.ReportLoad != nil {
+		load.Load = *t.faults.ReportLoad
+	}
+	return load
+}
+
+// load is the larger share of its slots and of its connections in use.
+func (t *Target) load() float64 {
+	slots := float64(t.running+len(t.queue)) / float64(max(t.options.Slots, 1))
+	connections := float64(t.counts.open.Load()) / float64(max(t.options.Connections, 1))
+	return min(max(slots, connections), 1)
+}
--- /dev/null
+++ b/internal/standin/upstream/target.go
@@ -0,0 +1,179 @@
+// Package upstream is a stand-in for the upstreams, for development and tests.
+// A Target takes IP packets out of UDP datagrams, runs the requests in them and
+// sends its answers, again IP packets in UDP, straight to the callers' address.
+package upstream
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/standin/wire"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Target is one running upstream.
+type Target struct {
+	options Options
+	number  uint32
+	ledger  *Ledger
+	back    netip.AddrPort
+	socket  *net.UDPConn
+	counts  counts
+	started time.Time
+	done    chan struct{}
+
+	mu      sync.Mutex
+	streams map[netip.AddrPort]*serverStream
+	callers map[netip.AddrPort]time.Time
+	running int
+	queue   []job
+	faults  Faults
+	drained time.Time
+}
+
+// Faults changes how a Target behaves and what it reports.
+type Faults struct {
+	// Draining reports a drain; flows are still taken.
+	Draining bool `json:"draining"`
+	// Down drops every packet.
+	Down bool `json:"down"`
+	// Silent drops packets of unknown flows instead of resetting them.
+	Silent bool `json:"silent"`
+	// Forget loses all flows once.
+	Forget bool `json:"forget"`
+	// ReportHealthy and ReportLoad replace the true report.
+	ReportHealthy *bool    `json:"report_healthy,omitempty"`
+	ReportLoad    *float64 `json:"report_load,omitempty"`
+}
+
+// newTarget starts a Target whose answers go to back.
+func newTarget(options Options, number uint32, ledger *Ledger, back netip.AddrPort) (*Target, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(options.Address))
+	if err != nil {
+		return nil, err
+	}
+	if err := socket.SetReadBuffer(socketBuffer); err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	t := &Target{
+		options: options,
+		number:  number,
+		ledger:  ledger,
+		back:    back,
+		socket:  socket,
+		started: time.Now(),
+		done:    make(chan struct{}),
+		streams: make(map[netip.AddrPort]*serverStream),
+		callers: make(map[netip.AddrPort]time.Time),
+	}
+	go t.readPackets()
+	go t.tick()
+	return t, nil
+}
+
+// Address is where the target receives packets.
+func (t *Target) Address() netip.AddrPort {
+	return t.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Counts returns what the target has seen up to now.
+func (t *Target) Counts() Counts { return t.counts.read(t.options.ID) }
+
+// SetFaults replaces the target's faults.
+func (t *Target) SetFaults(faults Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if faults.Draining && !t.faults.Draining {
+		t.drained = time.Now()
+	}
+	if faults.Forget {
+		t.forget()
+	}
+	t.faults = faults
+}
+
+func (t *Target) forget() {
+	t.streams = make(map[netip.AddrPort]*serverStream)
+	t.callers = make(map[netip.AddrPort]time.Time)
+	t.counts.open.Store(0)
+}
+
+func (t *Target) close() {
+	close(t.done)
+	_ = t.socket.Close()
+}
+
+func (t *Target) readPackets() {
+	var decoder wire.Decoder
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, err := t.socket.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		packet, err := decoder.Decode(buffer[:n])
+		if err != nil {
+			t.counts.malformed.Add(1)
+			continue
+		}
+		t.receive(time.Now(), packet)
+	}
+}
+
+func (t *Target) receive(now time.Time, p wire.Packet) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.faults.Down {
+		return
+	}
+	if p.Dest != t.options.Service || p.Protocol != t.options.Protocol {
+		t.counts.wrongService.Add(1)
+		return
+	}
+	if p.Protocol == state.UDP {
+		t.receiveDatagram(now, p)
+		return
+	}
+	t.receiveSegment(now, p)
+}
+
+func (t *Target) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.done:
+			return
+		case now := <-ticker.C:
+			t.tickStreams(now)
+		}
+	}
+}
+
+// send passes a packet of the service to the caller.
+func (t *Target) send(p wire.Packet) {
+	p.Protocol = t.options.Protocol
+	p.Source = t.options.Service
+	encoded, err := wire.Encode(p)
+	if err != nil {
+		panic(err)
+	}
+	// A failed write is a lost packet; the endpoints retransmit.
+	_, _ = t.socket.WriteToUDPAddrPort(encoded, t.back)
+}
+
+// opened counts a new flow. The caller holds t.mu.
+func (t *Target) opened(now time.Time) {
+	t.counts.opened.Add(1)
+	t.counts.open.Add(1)
+	if t.faults.Draining && now.Sub(t.drained) > drainGrace {
+		t.counts.afterDrain.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream/tcp.go
@@ -0,0 +1,132 @@
+package upstream
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/standin/exchange"
+	"github.com/guavawharf/guavawharf/internal/standin/stream"
+	"github.com/guavawharf/guavawharf/internal/standin/wire"
+)
+
+// serverStream is one TCP connection of an upstream.
+type serverStream struct {
+	conn   *stream.Conn
+	caller netip.AddrPort
+	// unread holds bytes of an incomplete request.
+	unread []byte
+	ended  time.Time
+}
+
+func (t *Target) receiveSegment(now time.Time, p wire.Packet) {
+	segment := stream.Segment{Flags: p.Flags, Seq: p.Seq, Ack: p.Ack, Payload: p.Payload}
+	s := t.streams[p.Source]
+	opening := p.Flags.Has(wire.SYN) && !p.Flags.Has(wire.ACK)
+	if opening && (s == nil || s.conn.State().Ended()) {
+		t.accept(now, p.Source, segment)
+		return
+	}
+	if s == nil {
+		t.receiveUnknown(p)
+		return
+	}
+	data := s.conn.Receive(now, segment)
+	t.consume(s, data)
+	if s.conn.PeerClosed() {
+		s.conn.Close(now)
+	}
+	t.flush(now, s)
+}
+
+func (t *Target) accept(now time.Time, caller netip.AddrPort, syn stream.Segment) {
+	if t.counts.open.Load() >= int64(t.options.Connections) {
+		t.counts.overLimit.Add(1)
+		t.sendReset(caller, 0, syn.Seq+1, wire.RST|wire.ACK)
+		return
+	}
+	s := &serverStream{conn: stream.Accept(now, rand.Uint32(), syn), caller: caller}
+	t.streams[caller] = s
+	t.opened(now)
+	t.flush(now, s)
+}
+
+// receiveUnknown answers a packet of a flow that this target does not know.
+func (t *Target) receiveUnknown(p wire.Packet) {
+	if p.Flags.Has(wire.RST) {
+		return
+	}
+	if len(p.Payload) > 0 {
+		t.counts.neverOpened.Add(1)
+	}
+	if t.faults.Silent {
+		return
+	}
+	t.sendReset(p.Source, p.Ack, 0, wire.RST)
+}
+
+func (t *Target) sendReset(caller netip.AddrPort, seq, ack uint32, flags wire.Flags) {
+	t.send(wire.Packet{Dest: caller, Flags: flags, Seq: seq, Ack: ack})
+}
+
+// consume submits the complete requests.
+func (t *Target) consume(s *serverStream, data []byte) {
+	s.unread = append(s.unread, data...)
+	for len(s.unread) >= exchange.RequestSize {
+		request, err := exchange.DecodeRequest(s.unread)
+		if err != nil {
+			t.counts.malformed.Add(1)
+			s.unread = nil
+			return
+		}
+		s.unread = s.unread[exchange.RequestSize:]
+		t.submit(job{request: request, answer: func(a exchange.Answer) { t.answerStream(s, a) }})
+	}
+}
+
+// answerStream runs under t.mu.
+func (t *Target) answerStream(s *serverStream, a exchange.Answer) {
+	if t.streams[s.caller] != s {
+		return
+	}
+	now := time.Now()
+	s.conn.Write(now, a.Encode())
+	t.flush(now, s)
+}
+
+// flush sends what the connection has to send and notes its end.
+func (t *Target) flush(now time.Time, s *serverStream) {
+	for _, out := range s.conn.Take() {
+		t.send(wire.Packet{Dest: s.caller, Flags: out.Flags, Seq: out.Seq, Ack: out.Ack, Payload: out.Payload})
+	}
+	if s.ended.IsZero() && s.conn.State().Ended() {
+		s.ended = now
+		t.countEnd(s.conn.State())
+	}
+}
+
+func (t *Target) countEnd(state stream.State) {
+	t.counts.open.Add(-1)
+	switch state {
+	case stream.Reset:
+		t.counts.reset.Add(1)
+	case stream.TimedOut:
+		t.counts.timedOut.Add(1)
+	}
+}
+
+func (t *Target) tickStreams(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for caller, s := range t.streams {
+		if !s.ended.IsZero() {
+			if now.Sub(s.ended) > lingerTime {
+				delete(t.streams, caller)
+			}
+			continue
+		}
+		s.conn.Tick(now)
+		t.flush(now, s)
+	}
+	t.expireCallers(now)
+}
--- /dev/null
+++ b/internal/standin/upstream/udp.go
@@ -0,0 +1,44 @@
+package upstream
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/standin/exchange"
+	"github.com/guavawharf/guavawharf/internal/standin/wire"
+)
+
+// receiveDatagram runs the request of one datagram. Datagrams of one caller
+// address are one flow, which opens with the first of them.
+func (t *Target) receiveDatagram(now time.Time, p wire.Packet) {
+	if len(p.Payload) < exchange.RequestSize {
+		t.counts.malformed.Add(1)
+		return
+	}
+	request, err := exchange.DecodeRequest(p.Payload)
+	if err != nil {
+		t.counts.malformed.Add(1)
+		return
+	}
+	if _, known := t.callers[p.Source]; !known {
+		t.opened(now)
+	}
+	t.callers[p.Source] = now
+	caller := p.Source
+	t.submit(job{request: request, answer: func(a exchange.Answer) { t.answerDatagram(caller, a) }})
+}
+
+func (t *Target) answerDatagram(caller netip.AddrPort, a exchange.Answer) {
+	a.Size = min(a.Size, wire.MaxPayload-exchange.AnswerHeaderSize)
+	t.send(wire.Packet{Dest: caller, Payload: a.Encode()})
+}
+
+// expireCallers ends the flows of callers that are silent.
+func (t *Target) expireCallers(now time.Time) {
+	for caller, last := range t.callers {
+		if now.Sub(last) > lingerTime {
+			delete(t.callers, caller)
+			t.counts.open.Add(-1)
+		}
+	}
+}
