--- /dev/null
+++ b/internal/protocol/packet/refusal.go
@@ -0,0 +1,106 @@
+package packet
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	"golang.org/x/net/icmp"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Refusal is a refused flow opening as its caller reads it.
+type Refusal struct {
+	Key state.FlowKey
+	// RetryAfter is when the caller may come back.
+	RetryAfter time.Duration
+}
+
+// ParseRefusal reads a packet that a caller received. It returns false for
+// packets that are not refusals built by Answerer.Refuse.
+func ParseRefusal(data []byte) (Refusal, bool) {
+	d := NewDecoder()
+	if err := d.decodeLayers(data); err != nil {
+		return Refusal{}, false
+	}
+	switch d.decoded[len(d.decoded)-1] {
+	case layers.LayerTypeTCP:
+		return d.parseReset()
+	case layers.LayerTypeIPv4, layers.LayerTypeIPv6:
+		return d.parseUnreachable()
+	default:
+		return Refusal{}, false
+	}
+}
+
+func (d *Decoder) parseReset() (Refusal, bool) {
+	if !d.tcp.RST {
+		return Refusal{}, false
+	}
+	retryAfter, ok := parseRefusalText(d.tcp.Payload)
+	if !ok {
+		return Refusal{}, false
+	}
+	service, caller := d.addresses()
+	key := state.FlowKey{
+		Protocol: state.TCP,
+		Caller:   netip.AddrPortFrom(caller, uint16(d.tcp.DstPort)),
+		Service:  netip.AddrPortFrom(service, uint16(d.tcp.SrcPort)),
+	}
+	return Refusal{Key: key, RetryAfter: retryAfter}, true
+}
+
+func (d *Decoder) parseUnreachable() (Refusal, bool) {
+	protocol := layers.IPProtocolICMPv6
+	next := d.ip6.NextHeader
+	if d.isIPv4() {
+		protocol = layers.IPProtocolICMPv4
+		next = d.ip4.Protocol
+	}
+	if next != protocol {
+		return Refusal{}, false
+	}
+	message, err := icmp.ParseMessage(int(protocol), d.networkPayload())
+	if err != nil {
+		return Refusal{}, false
+	}
+	body, ok := message.Body.(*icmp.DstUnreach)
+	if !ok {
+		return Refusal{}, false
+	}
+	retryAfter, ok := parseRetryObjects(body.Extensions)
+	if !ok {
+		return Refusal{}, false
+	}
+	key, ok := quotedKey(body.Data)
+	return Refusal{Key: key, RetryAfter: retryAfter}, ok
+}
+
+// quotedKey reads the flow of a quoted datagram, which may be cut or padded.
+func quotedKey(quote []byte) (state.FlowKey, bool) {
+	d := NewDecoder()
+	parser, err := d.parserFor(quote)
+	if err != nil {
+		return state.FlowKey{}, false
+	}
+	// A cut quote ends in an error after the headers were read.
+	_ = parser.DecodeLayers(quote, &d.decoded)
+	if !d.hasLayer(layers.LayerTypeUDP) {
+		return state.FlowKey{}, false
+	}
+	var p traffic.Packet
+	err = d.fillKey(&p, state.UDP, uint16(d.udp.SrcPort), uint16(d.udp.DstPort))
+	return p.Key, err == nil
+}
+
+func (d *Decoder) hasLayer(layer gopacket.LayerType) bool {
+	for _, decoded := range d.decoded {
+		if decoded == layer {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/protocol/relaywire/relaywire.go
@@ -0,0 +1,151 @@
+// Package relaywire encodes and decodes the header of datagrams between entry
+// hosts, whose layout is documented in package relay.
+package relaywire
+
+import (
+	"encoding/binary"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Error says why a datagram was not accepted. One counter exists for each.
+type Error uint8
+
+// Errors.
+const (
+	// ErrShort is a datagram shorter than the header.
+	ErrShort Error = iota + 1
+	// ErrVersion is a header of another version.
+	ErrVersion
+	// ErrKind is an unknown kind.
+	ErrKind
+	// ErrHops is a datagram with more hops than relay.MaxHops.
+	ErrHops
+	// ErrVerdict is an unknown verdict.
+	ErrVerdict
+	// ErrBody is a missing packet, or bytes after a record message.
+	ErrBody
+)
+
+var errorNames = [...]string{
+	0:          "none",
+	ErrShort:   "relay_short",
+	ErrVersion: "relay_version",
+	ErrKind:    "relay_kind",
+	ErrHops:    "relay_too_many_hops",
+	ErrVerdict: "relay_verdict",
+	ErrBody:    "relay_body",
+}
+
+// Errors returns every error of this package.
+func Errors() []Error {
+	errs := make([]Error, 0, len(errorNames)-1)
+	for i := 1; i < len(errorNames); i++ {
+		errs = append(errs, Error(i))
+	}
+	return errs
+}
+
+// Error returns the stable name of the error, which is its counter's name.
+func (e Error) Error() string {
+	if int(e) >= len(errorNames) {
+		return "relay_unknown"
+	}
+	return errorNames[e]
+}
+
+// Offsets of the fields in bytes.
+const (
+	offsetVersion    = 0
+	offsetKind       = 1
+	offsetHops       = 2
+	offsetPosition   = 3
+	offsetTarget     = 4
+	offsetService    = 8
+	offsetVerdict    = 12
+	offsetReason     = 13
+	offsetRetryAfter = 14
+	offsetHigh       = 16
+	offsetLow        = 24
+)
+
+// Put writes the header to the first relay.HeaderSize bytes of buf.
+func Put(buf []byte, h relay.Header) {
+	_ = buf[relay.HeaderSize-1]
+	buf[offsetVersion] = relay.Version
+	buf[offsetKind] = byte(h.Kind)
+	buf[offsetHops] = h.Hops
+	buf[offsetPosition] = h.Position
+	binary.BigEndian.PutUint32(buf[offsetTarget:], uint32(h.Target))
+	binary.BigEndian.PutUint32(buf[offsetService:], uint32(h.Service))
+	buf[offsetVerdict] = byte(h.Verdict)
+	buf[offsetReason] = h.Reason
+	binary.BigEndian.PutUint16(buf[offsetRetryAfter:], h.RetryAfter)
+	binary.BigEndian.PutUint64(buf[offsetHigh:], h.Fingerprint.High)
+	binary.BigEndian.PutUint64(buf[offsetLow:], h.Fingerprint.Low)
+}
+
+// Append appends the header and the packet to dst. The packet is empty for
+// record kinds.
+func Append(dst []byte, h relay.Header, packet []byte) []byte {
+	var buf [relay.HeaderSize]byte
+	Put(buf[:], h)
+	dst = append(dst, buf[:]...)
+	return append(dst, packet...)
+}
+
+// Decode reads a datagram. The returned packet is a part of data and empty for
+// record kinds. The error is an Error.
+func Decode(data []byte) (relay.Header, []byte, error) {
+	if len(data) < relay.HeaderSize {
+		return relay.Header{}, nil, ErrShort
+	}
+	if data[offsetVersion] != relay.Version {
+		return relay.Header{}, nil, ErrVersion
+	}
+	header := read(data)
+	packet := data[relay.HeaderSize:]
+	if err := check(header, packet); err != nil {
+		return relay.Header{}, nil, err
+	}
+	return header, packet, nil
+}
+
+// CarriesPacket tells whether datagrams of the kind carry a caller's packet.
+func CarriesPacket(kind relay.Kind) bool {
+	return kind == relay.KindOpening || kind == relay.KindPacket
+}
+
+func read(data []byte) relay.Header {
+	return relay.Header{
+		Kind:       relay.Kind(data[offsetKind]),
+		Hops:       data[offsetHops],
+		Position:   data[offsetPosition],
+		Target:     state.TargetNumber(binary.BigEndian.Uint32(data[offsetTarget:])),
+		Service:    state.ServiceNumber(binary.BigEndian.Uint32(data[offsetService:])),
+		Verdict:    relay.Verdict(data[offsetVerdict]),
+		Reason:     data[offsetReason],
+		RetryAfter: binary.BigEndian.Uint16(data[offsetRetryAfter:]),
+		Fingerprint: state.Fingerprint{
+			High: binary.BigEndian.Uint64(data[offsetHigh:]),
+			Low:  binary.BigEndian.Uint64(data[offsetLow:]),
+		},
+	}
+}
+
+func check(header relay.Header, packet []byte) error {
+	if header.Kind < relay.KindOpening || header.Kind > relay.KindForget {
+		return ErrKind
+	}
+	if header.Hops > relay.MaxHops {
+		return ErrHops
+	}
+	if header.Verdict > relay.VerdictRefuse {
+		return ErrVerdict
+	}
+	if CarriesPacket(header.Kind) == (len(packet) == 0) {
+		return ErrBody
+	}
+	return nil
+}
