Read TOML documents with every error at once, each with its line

Cause: settings and release notes both owe an author every error in one run. Ruled out: decoding into structs, which stops at the first wrong type. Change: package tomldoc over go-toml's decoder and its position parser. Conclusion: seven errors of seven kinds are reported with their lines.

--- /dev/null
+++ b/internal/protocol/tomldoc/table.go
@@ -0,0 +1,149 @@
+package tomldoc
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// document is what the tables of one document share.
+type document struct {
+	lines  lineIndex
+	issues Issues
+}
+
+// Table is one table of a document. Its methods record an issue for each value
+// that is missing or not allowed and return the zero value or the default.
+type Table struct {
+	doc    *document
+	path   string
+	values map[string]any
+	read   map[string]bool
+	tables []*Table
+}
+
+// Parse returns the root table of a document. A syntax error is the only issue
+// of a document that has one; the table is then nil.
+func Parse(data []byte) (*Table, Issues) {
+	values := make(map[string]any)
+	if err := toml.Unmarshal(data, &values); err != nil {
+		return nil, Issues{syntaxIssue(err)}
+	}
+	doc := &document{lines: indexLines(data)}
+	return newTable(doc, "", values), nil
+}
+
+func syntaxIssue(err error) Issue {
+	issue := Issue{Key: "document", Message: err.Error()}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		issue.Line, _ = decode.Position()
+	}
+	return issue
+}
+
+func newTable(doc *document, path string, values map[string]any) *Table {
+	return &Table{doc: doc, path: path, values: values, read: make(map[string]bool)}
+}
+
+// Finish reports the keys that were never read, in this table and in those
+// below it, and returns all issues of the document.
+func (t *Table) Finish() Issues {
+	t.reportUnread()
+	t.doc.issues.sort()
+	return t.doc.issues
+}
+
+func (t *Table) reportUnread() {
+	for key := range t.values {
+		if !t.read[key] {
+			t.Report(key, "is not a known key")
+		}
+	}
+	for _, table := range t.tables {
+		table.reportUnread()
+	}
+}
+
+// Report records an issue about a key of this table.
+func (t *Table) Report(key, message string) {
+	path := join(t.path, key)
+	t.doc.issues = append(t.doc.issues, Issue{Line: t.line(key), Key: path, Message: message})
+}
+
+// line returns the line of the key, or else that of the nearest table.
+func (t *Table) line(key string) int {
+	path := join(t.path, key)
+	if line, known := t.doc.lines[path]; known {
+		return line
+	}
+	if line, known := t.doc.lines[path+"[0]"]; known {
+		return line
+	}
+	return t.doc.lines[t.path]
+}
+
+// Has reports whether the key is present.
+func (t *Table) Has(key string) bool {
+	_, present := t.values[key]
+	return present
+}
+
+// Sub returns the table at the key; an absent one is empty.
+func (t *Table) Sub(key string) *Table {
+	t.read[key] = true
+	value, present := t.values[key]
+	values, ok := value.(map[string]any)
+	if present && !ok {
+		t.Report(key, "must be a table")
+	}
+	return t.child(join(t.path, key), values)
+}
+
+// List returns the tables of the array of tables at the key, in their order.
+func (t *Table) List(key string) []*Table {
+	t.read[key] = true
+	value, present := t.values[key]
+	items, ok := value.([]any)
+	if present && !ok {
+		t.Report(key, "must be an array of tables, as [["+join(t.path, key)+"]]")
+	}
+	tables := make([]*Table, 0, len(items))
+	for i, item := range items {
+		values, ok := item.(map[string]any)
+		if !ok {
+			t.Report(key, "must hold tables only")
+			continue
+		}
+		tables = append(tables, t.child(element(join(t.path, key), i), values))
+	}
+	return tables
+}
+
+func (t *Table) child(path string, values map[string]any) *Table {
+	child := newTable(t.doc, path, values)
+	t.tables = append(t.tables, child)
+	return child
+}
+
+// take returns the raw value of a key and marks it read. A missing required
+// key is an issue.
+func (t *Table) take(key string, required bool, allowed string) (any, bool) {
+	t.read[key] = true
+	value, present := t.values[key]
+	if !present && required {
+		t.Report(key, "is missing; allowed: "+allowed)
+	}
+	return value, present
+}
+
+// Keys returns the keys present in the table, sorted.
+func (t *Table) Keys() []string {
+	keys := make([]string, 0, len(t.values))
+	for key := range t.values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/protocol/tomldoc/tomldoc_test.go
@@ -0,0 +1,61 @@
+package tomldoc
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sample = `id = "x y"
+count = 99
+[host]
+packets = "localhost:1"
+wait = "1h"
+colour = "red"
+[[peer]]
+id = "a"
+[[peer]]
+id = 7
+`
+
+func TestEveryIssueIsReportedWithItsLine(t *testing.T) {
+	root, issues := Parse([]byte(sample))
+	require.Empty(t, issues)
+	root.Name("id")
+	require.Equal(t, int64(5), root.Integer("count", 5, 1, 10))
+	host := root.Sub("host")
+	host.AddrPort("packets")
+	host.AddrPort("relay")
+	require.Equal(t, time.Second, host.Duration("wait", time.Second, time.Second, time.Minute))
+	for _, peer := range root.List("peer") {
+		peer.Name("id")
+	}
+	got := root.Finish()
+	want := []Issue{{Line: 1, Key: "id"}, {Line: 2, Key: "count"}, {Line: 3, Key: "host.relay"},
+		{Line: 4, Key: "host.packets"}, {Line: 5, Key: "host.wait"}, {Line: 6, Key: "host.colour"},
+		{Line: 10, Key: "peer[1].id"}}
+	require.Len(t, got, len(want))
+	for i, issue := range got {
+		require.Equal(t, want[i].Line, issue.Line, issue.String())
+		require.Equal(t, want[i].Key, issue.Key)
+		require.NotEmpty(t, issue.Message)
+	}
+}
+
+func TestASyntaxErrorNamesItsLine(t *testing.T) {
+	root, issues := Parse([]byte("a = 1\nb = = 2\n"))
+	require.Nil(t, root)
+	require.Len(t, issues, 1)
+	require.Equal(t, 2, issues[0].Line)
+}
+
+func TestWrongShapesAreIssues(t *testing.T) {
+	root, _ := Parse([]byte("host = 1\npeer = 2\nnames = [\"a\", 3]\nflag = \"yes\"\nmode = \"z\"\n"))
+	root.Sub("host")
+	require.Empty(t, root.List("peer"))
+	require.Equal(t, []string{"a"}, root.Names("names"))
+	require.True(t, root.Bool("flag", true))
+	require.Equal(t, "x", root.OneOf("mode", "x", "x", "y"))
+	require.Len(t, root.Finish(), 5)
+}
--- /dev/null
+++ b/internal/protocol/tomldoc/values.go
@@ -0,0 +1,150 @@
+package tomldoc
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	allowedName     = "1 to 63 letters, digits, '-', '_' or '.'"
+	allowedAddrPort = "IP:port, as 192.0.2.1:6080"
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,63}$`)
+
+// Name returns a required identity.
+func (t *Table) Name(key string) string {
+	text, ok := t.text(key, true, allowedName)
+	if ok && !namePattern.MatchString(text) {
+		t.Report(key, "is not allowed; allowed: "+allowedName)
+		return ""
+	}
+	return text
+}
+
+// Names returns an optional array of identities.
+func (t *Table) Names(key string) []string {
+	allowed := "an array of names of " + allowedName
+	value, present := t.take(key, false, allowed)
+	if !present {
+		return nil
+	}
+	items, ok := value.([]any)
+	if !ok {
+		t.Report(key, "is not allowed; allowed: "+allowed)
+		return nil
+	}
+	names := make([]string, 0, len(items))
+	for _, item := range items {
+		name, ok := item.(string)
+		if !ok || !namePattern.MatchString(name) {
+			t.Report(key, "is not allowed; allowed: "+allowed)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// Text returns an optional string, or the default.
+func (t *Table) Text(key, fallback string) string {
+	text, ok := t.text(key, false, "a string")
+	if !ok {
+		return fallback
+	}
+	return text
+}
+
+// RequiredText returns a required string; allowed says what it may be.
+func (t *Table) RequiredText(key, allowed string) string {
+	text, _ := t.text(key, true, allowed)
+	return text
+}
+
+func (t *Table) text(key string, required bool, allowed string) (string, bool) {
+	value, present := t.take(key, required, allowed)
+	if !present {
+		return "", false
+	}
+	text, ok := value.(string)
+	if !ok {
+		t.Report(key, "must be a string; allowed: "+allowed)
+	}
+	return text, ok
+}
+
+// OneOf returns an optional choice, or the default.
+func (t *Table) OneOf(key, fallback string, choices ...string) string {
+	allowed := strings.Join(choices, ", ")
+	text, ok := t.text(key, false, allowed)
+	if !ok {
+		return fallback
+	}
+	if !slices.Contains(choices, text) {
+		t.Report(key, "is not allowed; allowed: "+allowed)
+		return fallback
+	}
+	return text
+}
+
+// Integer returns an optional whole number from low to high, or the default.
+func (t *Table) Integer(key string, fallback, low, high int64) int64 {
+	allowed := fmt.Sprintf("a whole number from %d to %d", low, high)
+	value, present := t.take(key, false, allowed)
+	if !present {
+		return fallback
+	}
+	number, ok := value.(int64)
+	if !ok || number < low || number > high {
+		t.Report(key, "is not allowed; allowed: "+allowed)
+		return fallback
+	}
+	return number
+}
+
+// Bool returns an optional truth value, or the default.
+func (t *Table) Bool(key string, fallback bool) bool {
+	value, present := t.take(key, false, "true or false")
+	if !present {
+		return fallback
+	}
+	truth, ok := value.(bool)
+	if !ok {
+		t.Report(key, "is not allowed; allowed: true or false")
+		return fallback
+	}
+	return truth
+}
+
+// Duration returns an optional duration from low to high, or the default.
+func (t *Table) Duration(key string, fallback, low, high time.Duration) time.Duration {
+	allowed := fmt.Sprintf("a duration from %s to %s, as \"30s\"", low, high)
+	text, ok := t.text(key, false, allowed)
+	if !ok {
+		return fallback
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil || duration < low || duration > high {
+		t.Report(key, "is not allowed; allowed: "+allowed)
+		return fallback
+	}
+	return duration
+}
+
+// AddrPort returns a required IP address with a port.
+func (t *Table) AddrPort(key string) netip.AddrPort {
+	text, ok := t.text(key, true, allowedAddrPort)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 {
+		t.Report(key, "is not allowed; allowed: "+allowedAddrPort)
+		return netip.AddrPort{}
+	}
+	return address
+}
