Agree on releases through one conditional update

Cause: a release must be in force everywhere or nowhere, also when hosts die, messages are lost and answers of the platform never arrive. Ruled out: a lease or an elected leader as the guard, because a paused holder acts after its lease has lapsed; per-domain commit objects, because domains could then decide differently. Change: package release, a pure state machine. Watchers read the head and tell peers, each host stages the pending note, a domain's watcher writes one status object, and a replaceable driver updates the head on condition that nobody else has. Submitting, accepting and refusing are pure functions on the head object.

--- /dev/null
+++ b/internal/coordination/release/checkpoint.go
@@ -0,0 +1,109 @@
+package release
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// checkpointPrefix precedes the parts of a checkpoint.
+func checkpointPrefix(version state.ReleaseVersion) string {
+	return fmt.Sprintf("%s%d/", objects.PrefixCheckpoints, version)
+}
+
+// split divides a release into parts of about PartSize.
+func split(release *state.Release) []objects.Checkpoint {
+	part := *release
+	part.Services = nil
+	var parts []objects.Checkpoint
+	size := 0
+	for _, service := range release.Services {
+		length := len(encode(service))
+		if size > 0 && size+length > PartSize {
+			parts = append(parts, objects.Checkpoint{Release: part})
+			part.Services = nil
+			part.Customers = nil
+			size = 0
+		}
+		part.Services = append(part.Services, service)
+		size += length
+	}
+	parts = append(parts, objects.Checkpoint{Release: part})
+	for i := range parts {
+		parts[i].Version = release.Version
+		parts[i].Part = i
+		parts[i].Parts = len(parts)
+	}
+	return parts
+}
+
+// join puts the parts of a checkpoint together; nil when some are missing.
+func join(parts []objects.Checkpoint) *state.Release {
+	if len(parts) == 0 || len(parts) != parts[0].Parts {
+		return nil
+	}
+	slices.SortFunc(parts, func(a, b objects.Checkpoint) int { return a.Part - b.Part })
+	whole := parts[0].Release
+	for _, part := range parts[1:] {
+		whole.Services = append(whole.Services, part.Release.Services...)
+	}
+	return &whole
+}
+
+// checkpoint writes a checkpoint when one is due. The parts come first, then
+// the head names the checkpoint; each write may be repeated.
+func (m *Machine) checkpoint(now time.Time) {
+	due := m.head.Version >= m.head.Checkpoint+CheckpointInterval
+	if !due || m.head.Pending != nil || m.headRead != m.known.ObjectVersion || m.Version() != m.head.Version {
+		return
+	}
+	purpose := fmt.Sprintf("checkpoint %d", m.head.Version)
+	place := position(m.members.drivers(purpose), m.settings.Self.ID)
+	if place < 0 || m.drive.deciding || now.Sub(m.learned) < time.Duration(place)*TakeoverInterval {
+		return
+	}
+	for _, part := range split(m.current) {
+		key := fmt.Sprintf("%s%d", checkpointPrefix(part.Version), part.Part)
+		if m.drive.parts[key] {
+			continue
+		}
+		m.call(now, objects.Call{Verb: objects.VerbPut, Key: key, Value: encode(part)})
+		return
+	}
+	next := m.head
+	next.Checkpoint = m.head.Version
+	m.updateHead(now, next)
+}
+
+// listCheckpoint reads the newest checkpoint.
+func (m *Machine) listCheckpoint(now time.Time) {
+	if m.head.Checkpoint == 0 {
+		return
+	}
+	m.call(now, objects.Call{Verb: objects.VerbList, Key: checkpointPrefix(m.head.Checkpoint)})
+}
+
+// checkpointAnswered notes a written part or takes in a listed checkpoint.
+func (m *Machine) checkpointAnswered(now time.Time, call objects.Call, outcome objects.Outcome) {
+	if call.Verb == objects.VerbPut {
+		m.drive.parts[call.Key] = true
+		m.checkpoint(now)
+		return
+	}
+	var parts []objects.Checkpoint
+	for _, object := range outcome.Page.Objects {
+		var part objects.Checkpoint
+		if err := json.Unmarshal(object.Value, &part); err != nil {
+			m.log("release_checkpoint_invalid", err.Error())
+			return
+		}
+		parts = append(parts, part)
+	}
+	if whole := join(parts); whole != nil {
+		m.install(now, whole)
+	}
+}
--- /dev/null
+++ b/internal/coordination/release/drive.go
@@ -0,0 +1,156 @@
+package release
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// drive is the work of moving the pending note to its decision.
+type drive struct {
+	since    time.Time
+	answers  map[state.DomainID]objects.Staged
+	listed   bool
+	revision uint64
+	// deciding is true while an update of the head is on its way.
+	deciding bool
+	apart    bool
+	// parts holds the keys of checkpoint parts that are stored.
+	parts map[string]bool
+}
+
+func newDrive() drive {
+	return drive{
+		answers: make(map[state.DomainID]objects.Staged),
+		parts:   make(map[string]bool),
+	}
+}
+
+// reset starts anew for another pending note.
+func (d *drive) reset(now time.Time) {
+	deciding := d.deciding
+	*d = newDrive()
+	d.since = now
+	d.deciding = deciding
+}
+
+// answered tells that the update of the head came back.
+func (d *drive) answered() { d.deciding = false }
+
+// driveNote reads the domains' answers and decides the pending note. The first
+// driver acts at once, each next one after a further TakeoverInterval.
+func (m *Machine) driveNote(now time.Time) {
+	pending := m.head.Pending
+	if pending == nil || m.headRead != m.known.ObjectVersion || m.drive.deciding {
+		return
+	}
+	place := position(m.members.drivers("drive "+string(pending.Note.ID)), m.settings.Self.ID)
+	if place < 0 || now.Sub(m.drive.since) < time.Duration(place)*TakeoverInterval {
+		return
+	}
+	prefix := objects.PrefixStaged + string(pending.Note.ID) + "/"
+	if !m.drive.listed {
+		m.call(now, objects.Call{Verb: objects.VerbList, Key: prefix})
+		return
+	}
+	m.call(now, objects.Call{Verb: objects.VerbWatch, Key: prefix, After: m.drive.revision, Wait: WatchWait})
+	m.decide(now, pending)
+}
+
+// stagedAnswered takes in the domains' answers.
+func (m *Machine) stagedAnswered(now time.Time, call objects.Call, outcome objects.Outcome) {
+	pending := m.head.Pending
+	if pending == nil || call.Key != objects.PrefixStaged+string(pending.Note.ID)+"/" {
+		return
+	}
+	m.drive.listed = true
+	m.drive.revision = max(m.drive.revision, outcome.Page.Revision)
+	for _, object := range outcome.Page.Objects {
+		var staged objects.Staged
+		if err := json.Unmarshal(object.Value, &staged); err != nil {
+			m.log("release_staged_invalid", err.Error())
+			continue
+		}
+		m.drive.answers[staged.Domain] = staged
+	}
+	m.driveNote(now)
+}
+
+// required lists the domains that have to stage a note.
+func (m *Machine) required(note *objects.Note) []state.DomainID {
+	var required []state.DomainID
+	if m.current != nil {
+		required = slices.Clone(m.current.Domains)
+	}
+	for _, id := range note.Content.AddDomains {
+		if !slices.Contains(required, id) {
+			required = append(required, id)
+		}
+	}
+	return slices.DeleteFunc(required, func(id state.DomainID) bool {
+		return slices.Contains(note.Content.Without, id)
+	})
+}
+
+// decide accepts or refuses the pending note by one conditional update.
+func (m *Machine) decide(now time.Time, pending *objects.Pending) {
+	note := m.notes.find(pending.Note.ID)
+	if note == nil || note.Content.Base != m.Version() {
+		return
+	}
+	var missing []string
+	for _, id := range m.required(note) {
+		staged, ok := m.drive.answers[id]
+		if ok && !staged.OK {
+			m.refuse(now, fmt.Sprintf("domain %s: %s", id, staged.Reason))
+			return
+		}
+		if !ok {
+			missing = append(missing, string(id))
+		}
+	}
+	if len(missing) == 0 || (m.settings.Variant == VariantAnyDomain && len(m.drive.answers) > 0) {
+		m.updateHead(now, m.head.Accept(now))
+		return
+	}
+	if now.After(pending.Deadline) {
+		m.refuse(now, m.lateReason(missing))
+	}
+}
+
+// lateReason names the domains that did not stage in time, and in this host's
+// own domain the hosts.
+func (m *Machine) lateReason(missing []string) string {
+	reason := fmt.Sprintf("domain %s: not staged before the deadline", strings.Join(missing, ", "))
+	hosts := m.missingHosts()
+	if slices.Contains(missing, string(m.settings.Self.Domain)) && len(hosts) > 0 {
+		reason += fmt.Sprintf("; no answer from %s", strings.Join(hosts, ", "))
+	}
+	return reason
+}
+
+// refuse records the pending note as refused.
+func (m *Machine) refuse(now time.Time, reason string) {
+	if m.settings.Variant == VariantTwoObjects && !m.drive.apart {
+		m.drive.apart = true
+		m.call(now, objects.Call{
+			Verb:  objects.VerbPut,
+			Key:   keyRefusedApart + string(m.head.Pending.Note.ID),
+			Value: encode(m.head.Refuse(reason, now).Decided[0]),
+		})
+		return
+	}
+	m.updateHead(now, m.head.Refuse(reason, now))
+}
+
+// updateHead writes the next head on condition that nobody else has.
+func (m *Machine) updateHead(now time.Time, next objects.Head) {
+	m.drive.deciding = m.call(now, objects.Call{
+		Verb: objects.VerbPut, Key: objects.KeyHead, Version: m.headRead, Value: encode(next),
+	})
+}
--- /dev/null
+++ b/internal/coordination/release/machine.go
@@ -0,0 +1,165 @@
+package release
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Settings are what a machine is built from.
+type Settings struct {
+	Self    state.Host
+	Variant Variant
+}
+
+// Event is something worth a log line, with a stable name.
+type Event struct {
+	Name   string
+	Detail string
+}
+
+// Output is what the machine wants done.
+type Output struct {
+	Sends  []message.Outgoing
+	Calls  []objects.Call
+	Events []Event
+}
+
+// callKey tells calls apart; at most one of each is outstanding.
+type callKey struct {
+	verb objects.Verb
+	key  string
+}
+
+// Machine is one entry host's part in agreeing on releases.
+type Machine struct {
+	settings Settings
+	rng      *rand.Rand
+	out      Output
+	members  roster
+	platform platform
+	known    HeadDigest
+	// head is the full head as last read from the platform.
+	head     objects.Head
+	headRead uint64
+	learned  time.Time
+	current  *state.Release
+	notes    noteStore
+	staging  staging
+	drive    drive
+	fetch    fetch
+	status   status
+	spread   spread
+	ticked   time.Time
+	// pausedUntil ends the wait for news after a pause of this process.
+	pausedUntil time.Time
+	// returningUntil ends the time in which a newer release counts as made
+	// while this host was away.
+	returningUntil time.Time
+	// returned tells that newer releases were made without this host.
+	returned bool
+}
+
+// New returns a machine that knows no release.
+func New(settings Settings, rng *rand.Rand) *Machine {
+	return &Machine{
+		settings: settings,
+		rng:      rng,
+		members:  newRoster(settings.Self),
+		platform: newPlatform(),
+		notes:    newNoteStore(),
+		staging:  newStaging(),
+		drive:    newDrive(),
+		status:   newStatus(),
+	}
+}
+
+// SetView tells the machine which hosts membership believes in.
+func (m *Machine) SetView(view state.View) { m.members.setView(view) }
+
+// SetVersion tells the machine what membership heard to be in force on another
+// host; it may lag.
+func (m *Machine) SetVersion(host state.HostID, version state.ReleaseVersion) {
+	if version > m.status.versions[host] {
+		m.status.heard(host, version)
+	}
+}
+
+// Watching tells whether this host is one of its domain's watchers.
+func (m *Machine) Watching(now time.Time) bool { return m.isWatcher(now) }
+
+// Current returns the release in force on this host, nil for none.
+func (m *Machine) Current() *state.Release { return m.current }
+
+// Version returns the version of the release in force on this host.
+func (m *Machine) Version() state.ReleaseVersion {
+	if m.current == nil {
+		return 0
+	}
+	return m.current.Version
+}
+
+// Known returns the newest head that this host has heard of.
+func (m *Machine) Known() HeadDigest { return m.known }
+
+// Take returns the gathered output and clears it.
+func (m *Machine) Take() Output {
+	out := m.out
+	m.out = Output{}
+	return out
+}
+
+// Tick lets time pass.
+func (m *Machine) Tick(now time.Time) {
+	m.noticePause(now)
+	m.watch(now)
+	m.advance(now)
+	m.stage(now)
+	m.aggregate(now)
+	m.driveNote(now)
+	m.reportStatus(now)
+	m.checkpoint(now)
+	m.gossip(now)
+}
+
+// Receive handles a message of this package and ignores others.
+func (m *Machine) Receive(now time.Time, from state.Host, received message.Message) {
+	switch msg := received.(type) {
+	case News:
+		m.receiveNews(now, from, msg)
+	case Ask:
+		m.receiveAsk(from, msg)
+	case Content:
+		m.receiveContent(now, msg)
+	case StagedAnswer:
+		m.receiveAnswer(now, from, msg)
+	case Applied:
+		m.status.heard(from.ID, msg.Version)
+		m.reportStatus(now)
+	case StatusRelay:
+		m.receiveRelay(now, msg)
+	}
+}
+
+// Handles tells whether the message belongs to this package.
+func Handles(received message.Message) bool {
+	switch received.(type) {
+	case News, Ask, Content, StagedAnswer, Applied, StatusRelay:
+		return true
+	}
+	return false
+}
+
+func (m *Machine) send(to state.Host, msg message.Message) {
+	if to.ID == m.settings.Self.ID {
+		return
+	}
+	m.out.Sends = append(m.out.Sends, message.Outgoing{To: to, Message: msg})
+}
+
+func (m *Machine) log(name, detail string) {
+	m.out.Events = append(m.out.Events, Event{Name: name, Detail: detail})
+}
--- /dev/null
+++ b/internal/coordination/release/message.go
@@ -0,0 +1,88 @@
+package release
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// News is a digest of what the sender knows about releases.
+type News struct {
+	Head HeadDigest
+	// Running is the release in force on the sender, 0 for none.
+	Running state.ReleaseVersion
+	// PlatformAge is the time since the platform was last heard by anyone whose
+	// news reached the sender; negative for never.
+	PlatformAge time.Duration
+}
+
+// HeadDigest is the head object without its past decisions.
+type HeadDigest struct {
+	// ObjectVersion is the version of the head object; higher is newer.
+	ObjectVersion uint64
+	Version       state.ReleaseVersion
+	Accepted      state.NoteID
+	// Without lists the domains that the accepted note went ahead without.
+	Without []state.DomainID
+	Pending *objects.Pending
+}
+
+// Ask requests a note, and whatever makes releases newer than Have.
+type Ask struct {
+	Have state.ReleaseVersion
+	// Note is a wanted note; empty for none.
+	Note state.NoteID
+}
+
+// Content answers Ask.
+type Content struct {
+	// Note is the note asked for, nil when the sender lacks it.
+	Note *objects.Note
+	// Accepted holds the accepted notes after Ask.Have, oldest first.
+	Accepted []objects.Note
+	// Release is sent in place of Accepted by a sender that lacks some.
+	Release *state.Release
+}
+
+// StagedAnswer is one host's answer about the pending note, to the watchers of
+// its domain.
+type StagedAnswer struct {
+	Note   objects.NoteRef
+	OK     bool
+	Reason string
+}
+
+// Applied tells the watchers of a domain what is in force on the sender.
+type Applied struct{ Version state.ReleaseVersion }
+
+// StatusRelay asks a host of another domain to write a status object for a
+// domain that cannot reach the platform. Exactly one field is set.
+type StatusRelay struct {
+	Staged  *objects.Staged
+	InForce *objects.InForce
+}
+
+// ControlMessage marks the type as a message.
+func (News) ControlMessage() {}
+
+// ControlMessage marks the type as a message.
+func (Ask) ControlMessage() {}
+
+// ControlMessage marks the type as a message.
+func (Content) ControlMessage() {}
+
+// ControlMessage marks the type as a message.
+func (StagedAnswer) ControlMessage() {}
+
+// ControlMessage marks the type as a message.
+func (Applied) ControlMessage() {}
+
+// ControlMessage marks the type as a message.
+func (StatusRelay) ControlMessage() {}
+
+// Messages returns the zero values of this package's message types.
+func Messages() []message.Message {
+	return []message.Message{News{}, Ask{}, Content{}, StagedAnswer{}, Applied{}, StatusRelay{}}
+}
--- /dev/null
+++ b/internal/coordination/release/platform.go
@@ -0,0 +1,159 @@
+package release
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// platform tracks calls to the platform and how long ago it was heard.
+type platform struct {
+	outstanding map[callKey]bool
+	failures    int
+	notBefore   time.Time
+	// heardAt is when anyone whose news reached this host heard the platform.
+	heardAt time.Time
+	// listed tells that the head was read since the last failure; revision is
+	// where its watch goes on.
+	listed   bool
+	revision uint64
+}
+
+func newPlatform() platform {
+	return platform{outstanding: make(map[callKey]bool)}
+}
+
+// failed notes a failure and draws the wait before the next call.
+func (p *platform) failed(now time.Time, rng *rand.Rand, retryAfter time.Duration) {
+	limit := BackoffFirst << min(p.failures, 6)
+	limit = min(limit, BackoffMax)
+	p.failures++
+	wait := time.Duration(rng.Int64N(int64(limit) + 1))
+	p.notBefore = now.Add(max(wait, retryAfter))
+	p.listed = false
+}
+
+// call asks the platform unless the same call is outstanding or it is too soon.
+func (m *Machine) call(now time.Time, call objects.Call) bool {
+	key := callKey{call.Verb, call.Key}
+	if m.platform.outstanding[key] || now.Before(m.platform.notBefore) {
+		return false
+	}
+	m.platform.outstanding[key] = true
+	m.out.Calls = append(m.out.Calls, call)
+	return true
+}
+
+// Answered handles the outcome of a call.
+func (m *Machine) Answered(now time.Time, call objects.Call, outcome objects.Outcome) {
+	delete(m.platform.outstanding, callKey{call.Verb, call.Key})
+	switch outcome.Result {
+	case objects.ResultRefused, objects.ResultUnknown:
+		m.platform.failed(now, m.rng, outcome.RetryAfter)
+		m.callFailed(now, call)
+		return
+	}
+	m.platform.failures = 0
+	m.heard(now, now)
+	m.dispatch(now, call, outcome)
+	m.advance(now)
+	m.stage(now)
+	m.aggregate(now)
+	m.driveNote(now)
+}
+
+func (m *Machine) dispatch(now time.Time, call objects.Call, outcome objects.Outcome) {
+	switch {
+	case call.Key == objects.KeyHead:
+		m.headAnswered(now, call, outcome)
+	case strings.HasPrefix(call.Key, objects.PrefixNotes):
+		m.noteAnswered(now, outcome)
+	case strings.HasPrefix(call.Key, objects.PrefixStaged) && call.Verb != objects.VerbPut:
+		m.stagedAnswered(now, call, outcome)
+	case strings.HasPrefix(call.Key, objects.PrefixCheckpoints):
+		m.checkpointAnswered(now, call, outcome)
+	default:
+		m.statusAnswered(now, call, outcome)
+	}
+}
+
+// isWatcher tells whether this host should watch the platform.
+func (m *Machine) isWatcher(now time.Time) bool {
+	salt := ""
+	if m.cutOff(now) {
+		salt = rotation(now)
+	}
+	watchers := m.members.watchers(m.settings.Self.Domain, salt)
+	return position(watchers, m.settings.Self.ID) >= 0
+}
+
+// cutOff tells that nobody heard the platform for long, as far as is known.
+func (m *Machine) cutOff(now time.Time) bool {
+	return now.Sub(m.platform.heardAt) > CutOffAfter
+}
+
+// watch keeps a watch on the head.
+func (m *Machine) watch(now time.Time) {
+	if !m.isWatcher(now) {
+		m.platform.listed = false
+		return
+	}
+	if !m.platform.listed {
+		m.call(now, objects.Call{Verb: objects.VerbList, Key: objects.KeyHead})
+		return
+	}
+	m.call(now, objects.Call{
+		Verb: objects.VerbWatch, Key: objects.KeyHead, After: m.platform.revision, Wait: WatchWait,
+	})
+}
+
+// headAnswered learns the head from a list, a watch, or an update of it.
+func (m *Machine) headAnswered(now time.Time, call objects.Call, outcome objects.Outcome) {
+	switch call.Verb {
+	case objects.VerbList, objects.VerbWatch:
+		m.platform.listed = true
+		m.platform.revision = max(m.platform.revision, outcome.Page.Revision)
+		for _, object := range outcome.Page.Objects {
+			m.learnHead(now, object)
+		}
+		m.watch(now)
+	default:
+		m.drive.answered()
+		m.learnHead(now, outcome.Object)
+	}
+}
+
+// learnHead takes in the head object as the platform holds it.
+func (m *Machine) learnHead(now time.Time, object objects.Object) {
+	if object.Key != objects.KeyHead || object.Version <= m.headRead {
+		return
+	}
+	var head objects.Head
+	if err := json.Unmarshal(object.Value, &head); err != nil {
+		m.log("release_head_invalid", err.Error())
+		return
+	}
+	m.head = head
+	m.headRead = object.Version
+	digest := HeadDigest{
+		ObjectVersion: object.Version,
+		Version:       head.Version,
+		Accepted:      head.Accepted,
+		Without:       withoutOf(head),
+		Pending:       head.Pending,
+	}
+	m.learn(now, digest)
+}
+
+// withoutOf returns the domains that the newest accepted note did without.
+func withoutOf(head objects.Head) []state.DomainID {
+	decision, ok := head.Decision(head.Accepted)
+	if !ok {
+		return nil
+	}
+	return decision.Without
+}
--- /dev/null
+++ b/internal/coordination/release/rank.go
@@ -0,0 +1,42 @@
+package release
+
+import (
+	"slices"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/zeebo/xxh3"
+)
+
+// rendezvous sorts the hosts by the hash of salt and host id, lowest first.
+func rendezvous(salt string, hosts []state.Host) []state.Host {
+	type ranked struct {
+		hash uint64
+		host state.Host
+	}
+	list := make([]ranked, 0, len(hosts))
+	for _, host := range hosts {
+		list = append(list, ranked{xxh3.HashString(salt + "\x00" + string(host.ID)), host})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.hash != b.hash {
+			if a.hash < b.hash {
+				return -1
+			}
+			return 1
+		}
+		if a.host.ID < b.host.ID {
+			return -1
+		}
+		return 1
+	})
+	sorted := make([]state.Host, 0, len(list))
+	for _, entry := range list {
+		sorted = append(sorted, entry.host)
+	}
+	return sorted
+}
+
+// position returns the index of the host, or -1.
+func position(hosts []state.Host, id state.HostID) int {
+	return slices.IndexFunc(hosts, func(host state.Host) bool { return host.ID == id })
+}
--- /dev/null
+++ b/internal/coordination/release/roster.go
@@ -0,0 +1,102 @@
+package release
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// roster is what the machine uses of the membership view.
+type roster struct {
+	self state.Host
+	// serving holds the hosts that are alive or suspected, sorted by id, this
+	// host included unless it is leaving.
+	serving []state.Host
+	// others holds every other member, leaving ones included.
+	others []state.Host
+}
+
+func newRoster(self state.Host) roster {
+	return roster{self: self, serving: []state.Host{self}}
+}
+
+func (r *roster) setView(view state.View) {
+	r.serving = nil
+	r.others = nil
+	for _, member := range view.Members {
+		if member.Status == state.HostDead {
+			continue
+		}
+		if member.Status != state.HostLeaving {
+			r.serving = append(r.serving, member.Host)
+		}
+		if member.ID != r.self.ID {
+			r.others = append(r.others, member.Host)
+		}
+	}
+}
+
+// domain returns the serving hosts of a domain.
+func (r *roster) domain(id state.DomainID) []state.Host {
+	var hosts []state.Host
+	for _, host := range r.serving {
+		if host.Domain == id {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// domains lists the domains with serving hosts, sorted.
+func (r *roster) domains() []state.DomainID {
+	var ids []state.DomainID
+	for _, host := range r.serving {
+		if !slices.Contains(ids, host.Domain) {
+			ids = append(ids, host.Domain)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// watchers returns the hosts of a domain that watch the platform, first first.
+func (r *roster) watchers(id state.DomainID, salt string) []state.Host {
+	ranked := rendezvous("watch"+salt, r.domain(id))
+	return ranked[:min(len(ranked), WatchersPerDomain)]
+}
+
+// drivers returns the watchers of all domains in the order for a purpose.
+func (r *roster) drivers(purpose string) []state.Host {
+	var hosts []state.Host
+	for _, id := range r.domains() {
+		hosts = append(hosts, r.watchers(id, "")...)
+	}
+	return rendezvous(purpose, hosts)
+}
+
+// peers returns the other members inside or outside this host's domain.
+func (r *roster) peers(inside bool) []state.Host {
+	var hosts []state.Host
+	for _, host := range r.others {
+		if (host.Domain == r.self.Domain) == inside {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// sample returns up to count random hosts.
+func sample(rng *rand.Rand, hosts []state.Host, count int) []state.Host {
+	picked := slices.Clone(hosts)
+	rng.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
+	return picked[:min(count, len(picked))]
+}
+
+// rotation salts the choice of watchers while the platform is not heard, so
+// that other hosts try it in turn.
+func rotation(now time.Time) string {
+	return strconv.FormatInt(now.UnixNano()/int64(RotateInterval), 10)
+}
--- /dev/null
+++ b/internal/coordination/release/staging.go
@@ -0,0 +1,168 @@
+package release
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// staging is what this host and its domain's peers answered about the pending
+// note.
+type staging struct {
+	checked bool
+	release *state.Release
+	reason  string
+	sent    time.Time
+	since   time.Time
+	answers map[state.HostID]StagedAnswer
+	written bool
+}
+
+func newStaging() staging {
+	return staging{answers: make(map[state.HostID]StagedAnswer)}
+}
+
+// reset forgets the answers about a note that is no longer pending. The
+// release it would make is kept: the note may have been accepted.
+func (s *staging) reset() {
+	release := s.release
+	*s = newStaging()
+	s.release = release
+}
+
+// describe joins the problems of a note for a reason.
+func describe(problems []state.Problem) string {
+	texts := make([]string, 0, len(problems))
+	for _, problem := range problems {
+		texts = append(texts, problem.String())
+	}
+	return strings.Join(texts, "; ")
+}
+
+// stage checks the pending note and answers the watchers of this domain.
+func (m *Machine) stage(now time.Time) {
+	pending := m.known.Pending
+	if pending == nil {
+		return
+	}
+	if !m.staging.checked && !m.check(now, pending) {
+		return
+	}
+	if now.Sub(m.staging.sent) < AnswerInterval {
+		return
+	}
+	m.staging.sent = now
+	answer := StagedAnswer{Note: pending.Note, OK: m.staging.release != nil, Reason: m.staging.reason}
+	m.staging.answers[m.settings.Self.ID] = answer
+	for _, watcher := range m.members.watchers(m.settings.Self.Domain, "") {
+		m.send(watcher, answer)
+	}
+	m.aggregate(now)
+}
+
+// check stages the pending note if its content and base are at hand.
+func (m *Machine) check(now time.Time, pending *objects.Pending) bool {
+	note := m.notes.find(pending.Note.ID)
+	if note == nil {
+		m.wantNote(now, pending.Note.ID)
+		return false
+	}
+	if note.Content.Base > m.Version() {
+		return false
+	}
+	m.staging.checked = true
+	m.staging.since = now
+	m.staging.release = nil
+	next, problems := state.Apply(m.current, &note.Content)
+	if len(problems) > 0 {
+		m.staging.reason = describe(problems)
+		return true
+	}
+	m.staging.release = next
+	return true
+}
+
+// wantNote asks the platform, as a watcher, or a random peer for a note.
+func (m *Machine) wantNote(now time.Time, id state.NoteID) {
+	if m.isWatcher(now) {
+		m.getNote(now, id)
+	}
+	for _, peer := range sample(m.rng, m.members.peers(true), 1) {
+		m.askNote(now, peer)
+	}
+}
+
+// receiveAnswer keeps a peer's answer about the pending note.
+func (m *Machine) receiveAnswer(now time.Time, from state.Host, answer StagedAnswer) {
+	if m.known.Pending == nil || m.known.Pending.Note != answer.Note || from.Domain != m.settings.Self.Domain {
+		return
+	}
+	m.staging.answers[from.ID] = answer
+	m.aggregate(now)
+}
+
+// aggregate writes this domain's answer once every serving host has staged the
+// note, or one found a fault. The second watcher holds back for a while.
+func (m *Machine) aggregate(now time.Time) {
+	pending := m.known.Pending
+	if pending == nil || m.staging.written || !m.staging.checked {
+		return
+	}
+	place := position(m.members.watchers(m.settings.Self.Domain, ""), m.settings.Self.ID)
+	if place < 0 || now.Sub(m.staging.since) < time.Duration(place)*TakeoverInterval {
+		return
+	}
+	staged, complete := m.domainAnswer(pending.Note)
+	if !complete {
+		return
+	}
+	m.staging.written = true
+	m.writeStaged(now, staged)
+}
+
+// domainAnswer adds up the answers of this domain's serving hosts.
+func (m *Machine) domainAnswer(ref objects.NoteRef) (objects.Staged, bool) {
+	staged := objects.Staged{Note: ref, Domain: m.settings.Self.Domain, OK: true}
+	complete := true
+	for _, host := range m.members.domain(m.settings.Self.Domain) {
+		answer, ok := m.staging.answers[host.ID]
+		switch {
+		case !ok:
+			complete = false
+		case !answer.OK:
+			staged.OK = false
+			staged.Reason = string(host.ID) + ": " + answer.Reason
+		default:
+			staged.Hosts++
+		}
+	}
+	return staged, complete || !staged.OK
+}
+
+// missingHosts lists the serving hosts of this domain that have not answered.
+func (m *Machine) missingHosts() []string {
+	var ids []string
+	for _, host := range m.members.domain(m.settings.Self.Domain) {
+		if _, ok := m.staging.answers[host.ID]; !ok {
+			ids = append(ids, string(host.ID))
+		}
+	}
+	return ids
+}
+
+// stagedKey is the key of a domain's answer about a note.
+func stagedKey(note state.NoteID, domain state.DomainID) string {
+	return objects.PrefixStaged + string(note) + "/" + string(domain)
+}
+
+// encode returns the JSON form of one of this system's objects.
+func encode(value any) json.RawMessage {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic("release: object does not encode: " + err.Error())
+	}
+	return text
+}
--- /dev/null
+++ b/internal/coordination/release/status.go
@@ -0,0 +1,207 @@
+package release
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// status is what is in force on the hosts heard of, and the status objects
+// still to be written.
+type status struct {
+	versions map[state.HostID]state.ReleaseVersion
+	reported objects.InForce
+	// behindSince is when the hosts that lag last changed.
+	behindSince time.Time
+	behind      []state.HostID
+	writes      map[string]*write
+}
+
+// write is a status object on its way to the platform.
+type write struct {
+	staged  *objects.Staged
+	inForce *objects.InForce
+	// condition is the object version that the write expects.
+	condition uint64
+	relayed   bool
+}
+
+func newStatus() status {
+	return status{
+		versions: make(map[state.HostID]state.ReleaseVersion),
+		writes:   make(map[string]*write),
+	}
+}
+
+// heard notes what is in force on a host.
+func (s *status) heard(host state.HostID, version state.ReleaseVersion) {
+	s.versions[host] = version
+}
+
+func (w *write) value() json.RawMessage {
+	if w.staged != nil {
+		return encode(w.staged)
+	}
+	return encode(w.inForce)
+}
+
+// writeStaged writes a domain's answer about the pending note.
+func (m *Machine) writeStaged(now time.Time, staged objects.Staged) {
+	m.status.writes[stagedKey(staged.Note.ID, staged.Domain)] = &write{staged: &staged}
+	m.flush(now)
+}
+
+// flush sends the status objects that are not on their way.
+func (m *Machine) flush(now time.Time) {
+	keys := make([]string, 0, len(m.status.writes))
+	for key := range m.status.writes {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		entry := m.status.writes[key]
+		m.call(now, objects.Call{
+			Verb: objects.VerbPut, Key: key, Version: entry.condition, Value: entry.value(),
+		})
+	}
+}
+
+// statusAnswered finishes a status write or repeats it on the present version.
+func (m *Machine) statusAnswered(now time.Time, call objects.Call, outcome objects.Outcome) {
+	entry := m.status.writes[call.Key]
+	if entry == nil {
+		return
+	}
+	if outcome.Result != objects.ResultConflict || entry.staged != nil {
+		delete(m.status.writes, call.Key)
+		return
+	}
+	var stored objects.InForce
+	err := json.Unmarshal(outcome.Object.Value, &stored)
+	if err == nil && !supersedes(*entry.inForce, stored) {
+		delete(m.status.writes, call.Key)
+		return
+	}
+	entry.condition = outcome.Object.Version
+	m.flush(now)
+}
+
+// supersedes tells that a status says more than the stored one.
+func supersedes(next, stored objects.InForce) bool {
+	if next.Version != stored.Version {
+		return next.Version > stored.Version
+	}
+	return next.Hosts != stored.Hosts || !slices.Equal(next.Behind, stored.Behind)
+}
+
+// callFailed hands a status write to a host of another domain, which may still
+// reach the platform.
+func (m *Machine) callFailed(now time.Time, call objects.Call) {
+	if call.Key == objects.KeyHead && call.Verb == objects.VerbPut {
+		m.drive.answered()
+	}
+	if strings.HasPrefix(call.Key, objects.PrefixStaged) && call.Verb != objects.VerbPut {
+		m.drive.listed = false
+	}
+	entry := m.status.writes[call.Key]
+	if entry == nil || call.Verb != objects.VerbPut || entry.relayed {
+		return
+	}
+	entry.relayed = true
+	relay := StatusRelay{Staged: entry.staged, InForce: entry.inForce}
+	for _, peer := range m.otherWatchers() {
+		m.send(peer, relay)
+	}
+}
+
+// otherWatchers returns one watcher of each other domain.
+func (m *Machine) otherWatchers() []state.Host {
+	var hosts []state.Host
+	for _, id := range m.members.domains() {
+		if id != m.settings.Self.Domain {
+			hosts = append(hosts, sample(m.rng, m.members.watchers(id, ""), 1)...)
+		}
+	}
+	return hosts
+}
+
+// receiveRelay writes a status object for another domain.
+func (m *Machine) receiveRelay(now time.Time, relay StatusRelay) {
+	switch {
+	case relay.Staged != nil:
+		staged := *relay.Staged
+		m.status.writes[stagedKey(staged.Note.ID, staged.Domain)] = &write{staged: &staged, relayed: true}
+	case relay.InForce != nil:
+		inForce := *relay.InForce
+		m.status.writes[objects.PrefixInForce+string(inForce.Domain)] = &write{inForce: &inForce, relayed: true}
+	}
+	m.flush(now)
+}
+
+// reportStatus writes what is in force in this domain when that has changed.
+// Only the first watcher of the domain writes.
+func (m *Machine) reportStatus(now time.Time) {
+	m.retryRelays(now)
+	m.flush(now)
+	watchers := m.members.watchers(m.settings.Self.Domain, "")
+	if m.current == nil || position(watchers, m.settings.Self.ID) != 0 {
+		return
+	}
+	next := m.domainStatus(now)
+	if next.Version <= m.status.reported.Version && !m.behindChanged(now, next) {
+		return
+	}
+	m.status.reported = next
+	m.status.writes[objects.PrefixInForce+string(next.Domain)] = &write{inForce: &next}
+	m.flush(now)
+}
+
+// retryRelays lets stuck writes be handed over again after the back-off.
+func (m *Machine) retryRelays(now time.Time) {
+	if now.Before(m.platform.notBefore) {
+		return
+	}
+	for _, entry := range m.status.writes {
+		if entry.relayed && !m.cutOff(now) {
+			entry.relayed = false
+		}
+	}
+}
+
+// domainStatus adds up what is in force on this domain's serving hosts. Hosts
+// that hold no release yet take no traffic and only count as behind.
+func (m *Machine) domainStatus(now time.Time) objects.InForce {
+	hosts := m.members.domain(m.settings.Self.Domain)
+	lowest := m.Version()
+	for _, host := range hosts {
+		if version := m.status.versions[host.ID]; version > 0 {
+			lowest = min(lowest, version)
+		}
+	}
+	next := objects.InForce{Domain: m.settings.Self.Domain, Version: lowest, Since: now}
+	for _, host := range hosts {
+		if m.status.versions[host.ID] >= m.Version() {
+			next.Hosts++
+			continue
+		}
+		next.Behind = append(next.Behind, host.ID)
+	}
+	return next
+}
+
+// behindChanged tells that the hosts that lag differ from those reported, and
+// have been the same for BehindAfter.
+func (m *Machine) behindChanged(now time.Time, next objects.InForce) bool {
+	if !slices.Equal(next.Behind, m.status.behind) {
+		m.status.behind = next.Behind
+		m.status.behindSince = now
+	}
+	if next.Version < m.status.reported.Version || slices.Equal(next.Behind, m.status.reported.Behind) {
+		return false
+	}
+	return now.Sub(m.status.behindSince) >= BehindAfter
+}
--- /dev/null
+++ b/internal/state/objects/head.go
@@ -0,0 +1,85 @@
+package objects
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Decision returns the recorded decision about a note.
+func (h Head) Decision(id state.NoteID) (Decision, bool) {
+	for _, decision := range h.Decided {
+		if decision.Note.ID == id {
+			return decision, true
+		}
+	}
+	return Decision{}, false
+}
+
+// Submit returns the head after the note was handed in at the given time. The
+// note becomes pending, or is recorded as refused with the winner named when
+// another is pending or its base is not the newest release. A note that is
+// pending or decided already leaves the head as it is and changed is false.
+func (h Head) Submit(note state.Note, now time.Time) (next Head, changed bool) {
+	if _, decided := h.Decision(note.ID); decided {
+		return h, false
+	}
+	if h.Pending != nil && h.Pending.Note.ID == note.ID {
+		return h, false
+	}
+	ref := NoteRef{ID: note.ID, Version: note.Base + 1}
+	if reason := h.obstacle(note); reason != "" {
+		refusal := Decision{Note: ref, State: NoteRefused, Reason: reason, At: now, Without: note.Without}
+		return h.record(refusal), true
+	}
+	next = h
+	next.Pending = &Pending{Note: ref, Deadline: now.Add(note.Deadline), Without: note.Without}
+	return next, true
+}
+
+// obstacle tells why a note cannot become pending; empty for no obstacle.
+func (h Head) obstacle(note state.Note) string {
+	if h.Pending != nil {
+		return fmt.Sprintf("note %s is pending", h.Pending.Note.ID)
+	}
+	if note.Base != h.Version {
+		return fmt.Sprintf("base is %d, but note %s made release %d", note.Base, h.Accepted, h.Version)
+	}
+	return ""
+}
+
+// Accept returns the head after its pending note was accepted.
+func (h Head) Accept(now time.Time) Head {
+	pending := h.Pending
+	next := h
+	next.Version = pending.Note.Version
+	next.Accepted = pending.Note.ID
+	next.Pending = nil
+	return next.record(Decision{Note: pending.Note, State: NoteAccepted, At: now, Without: pending.Without})
+}
+
+// Refuse returns the head after its pending note was refused.
+func (h Head) Refuse(reason string, now time.Time) Head {
+	pending := h.Pending
+	next := h
+	next.Pending = nil
+	return next.record(Decision{
+		Note: pending.Note, State: NoteRefused, Reason: reason, At: now, Without: pending.Without,
+	})
+}
+
+// record prepends a decision and drops old ones. Notes accepted since the
+// newest checkpoint are kept: a host that starts from it needs them.
+func (h Head) record(decision Decision) Head {
+	decided := append([]Decision{decision}, h.Decided...)
+	for i := len(decided) - 1; i > 0 && len(decided) > MaxDecided; i-- {
+		if decided[i].State == NoteAccepted && decided[i].Note.Version > h.Checkpoint {
+			continue
+		}
+		decided = slices.Delete(decided, i, i+1)
+	}
+	h.Decided = decided
+	return h
+}
