Add membership by probes, suspicion and gossip

Hosts of a domain probe each other at random, ask others before they suspect, and refute by incarnation. Changes ride on the probes in bounded numbers.

--- /dev/null
+++ b/internal/coordination/membership/apply.go
@@ -0,0 +1,139 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// hear takes in the gossip of a message.
+func (m *Machine) hear(from state.Host, g Gossip) {
+	m.apply(from, Entry{
+		Host:        from,
+		Status:      state.HostAlive,
+		Leaving:     g.Leaving,
+		Incarnation: g.Incarnation,
+		Version:     g.Version,
+	})
+	m.noteOutdated(from.ID, g.Incarnation)
+	for _, e := range g.Entries {
+		m.apply(from, e)
+	}
+	m.learnDigest(g.Digest)
+}
+
+// noteOutdated remembers that a host speaks with an incarnation that is lower
+// than what is known of it, so that the next message tells it.
+func (m *Machine) noteOutdated(id state.HostID, incarnation uint64) {
+	if known := m.table.get(id); known != nil {
+		known.outdated = known.incarnation > incarnation
+	}
+}
+
+// apply takes in one entry.
+func (m *Machine) apply(from state.Host, e Entry) {
+	if e.Host.ID == m.self.ID {
+		m.refute(e)
+		return
+	}
+	if e.Host.ID == "" || !m.mayJudge(from, e) {
+		return
+	}
+	known := m.table.get(e.Host.ID)
+	if known == nil {
+		m.insert(e)
+		return
+	}
+	if known.supersedes(e) {
+		m.replace(known, e)
+		return
+	}
+	m.merge(known, e)
+}
+
+// mayJudge tells whether the sender's verdict counts: hosts of one domain judge
+// each other, and another domain's hosts are judged there or by this domain.
+func (m *Machine) mayJudge(from state.Host, e Entry) bool {
+	if e.Status == state.HostAlive {
+		return true
+	}
+	return from.Domain == m.self.Domain || from.Domain == e.Host.Domain
+}
+
+// refute answers a belief about this host that is newer than its own.
+func (m *Machine) refute(e Entry) {
+	if e.Incarnation < m.incarnation {
+		return
+	}
+	if e.Incarnation == m.incarnation && e.Status == state.HostAlive {
+		return
+	}
+	m.incarnation = e.Incarnation + 1
+	m.changed()
+}
+
+func (m *Machine) insert(e Entry) {
+	if e.Status == state.HostDead || !e.Host.Control.IsValid() {
+		return
+	}
+	known := &member{host: e.Host, incarnation: e.Incarnation, version: e.Version, leaving: e.Leaving}
+	m.table.add(known)
+	m.updates.add(e.Host.ID)
+	m.changed()
+	m.prune(e.Host.Domain)
+}
+
+// replace takes a newer belief.
+func (m *Machine) replace(known *member, e Entry) {
+	if e.Incarnation > known.incarnation {
+		known.version = e.Version
+		known.leaving = e.Leaving
+	}
+	known.leaving = known.leaving || e.Leaving
+	known.version = max(known.version, e.Version)
+	known.incarnation = e.Incarnation
+	known.outdated = false
+	if e.Host.Control.IsValid() {
+		known.host = e.Host
+	}
+	m.setStatus(known, e.Status, e.By)
+	m.prune(known.host.Domain)
+}
+
+// merge takes what a belief that is not newer still adds.
+func (m *Machine) merge(known *member, e Entry) {
+	if e.Incarnation != known.incarnation {
+		return
+	}
+	known.version = max(known.version, e.Version)
+	if e.Status == state.HostSuspect && known.status == state.HostSuspect {
+		m.confirm(known, e.By)
+	}
+}
+
+// confirm counts another host's own suspicion.
+func (m *Machine) confirm(known *member, by state.HostID) {
+	if by == "" || len(known.suspectedBy) > SuspicionConfirmations {
+		return
+	}
+	if slices.Contains(known.suspectedBy, by) {
+		return
+	}
+	known.suspectedBy = append(known.suspectedBy, by)
+	m.updates.add(known.host.ID)
+}
+
+// setStatus changes a member's status and passes the change on.
+func (m *Machine) setStatus(known *member, status state.HostStatus, by state.HostID) {
+	known.status = status
+	known.suspectedBy = nil
+	switch status {
+	case state.HostSuspect:
+		known.suspectedAt = m.now
+		known.suspectedBy = append(known.suspectedBy, by)
+	case state.HostDead:
+		known.diedAt = m.now
+	}
+	m.updates.add(known.host.ID)
+	m.changed()
+}
--- /dev/null
+++ b/internal/coordination/membership/domains.go
@@ -0,0 +1,133 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// contactRank orders the hosts of a domain; the lowest are its contacts.
+func contactRank(id state.HostID) uint64 { return xxh3.HashString(string(id)) }
+
+// gatewayRank orders the hosts of a domain towards another domain.
+func gatewayRank(id state.HostID, to state.DomainID) uint64 {
+	return xxh3.HashString(string(id) + "\x00" + string(to))
+}
+
+// byContactRank sorts members by rank.
+func byContactRank(a, b *member) int {
+	return cmp.Compare(contactRank(a.host.ID), contactRank(b.host.ID))
+}
+
+// isGateway tells whether this host is one of its domain's hosts that probe the
+// given domain.
+func (m *Machine) isGateway(to state.DomainID) bool {
+	own := gatewayRank(m.self.ID, to)
+	lower := 0
+	m.table.each(func(k *member) {
+		if k.host.Domain != m.self.Domain || k.status != state.HostAlive || k.leaving {
+			return
+		}
+		if gatewayRank(k.host.ID, to) < own {
+			lower++
+		}
+	})
+	return lower < Gateways
+}
+
+// contacts returns the known hosts of another domain that are not dead.
+func (m *Machine) contacts(of state.DomainID) []*member {
+	return m.table.filter(func(k *member) bool { return k.host.Domain == of && !k.dead() })
+}
+
+// foreignDomains returns the other domains that have a known or listed host,
+// sorted.
+func (m *Machine) foreignDomains() []state.DomainID {
+	var domains []state.DomainID
+	add := func(d state.DomainID) {
+		i, found := slices.BinarySearch(domains, d)
+		if !found && d != m.self.Domain {
+			domains = slices.Insert(domains, i, d)
+		}
+	}
+	m.table.each(func(k *member) { add(k.host.Domain) })
+	for _, h := range m.listed {
+		add(h.Domain)
+	}
+	return domains
+}
+
+// prune keeps only the contacts of another domain.
+func (m *Machine) prune(of state.DomainID) {
+	if of == m.self.Domain {
+		return
+	}
+	known := m.contacts(of)
+	if len(known) <= MaxContacts {
+		return
+	}
+	slices.SortFunc(known, byContactRank)
+	for _, k := range known[MaxContacts:] {
+		m.table.remove(k.host.ID)
+		m.updates.remove(k.host.ID)
+	}
+}
+
+// contactEntries adds some of this domain's contacts in turn.
+func (m *Machine) contactEntries(entries []Entry, to state.HostID) []Entry {
+	own := m.table.filter(func(k *member) bool { return k.host.Domain == m.self.Domain })
+	slices.SortFunc(own, byContactRank)
+	own = own[:min(len(own), MaxContacts)]
+	for range min(MaxUpdates, len(own)) {
+		m.contactTurn = (m.contactTurn + 1) % len(own)
+		entries = m.appendEntry(entries, own[m.contactTurn].host.ID, to)
+	}
+	return entries
+}
+
+// ownDigest sums up this host's domain.
+func (m *Machine) ownDigest() Digest {
+	d := Digest{
+		Domain: m.self.Domain,
+		Hosts:  1,
+		Oldest: m.version,
+		Newest: m.version,
+		Stamp:  m.now.UnixMilli(),
+	}
+	m.table.each(func(k *member) {
+		if k.host.Domain != m.self.Domain || k.dead() {
+			return
+		}
+		d.Hosts++
+		d.Oldest = min(d.Oldest, k.version)
+		d.Newest = max(d.Newest, k.version)
+	})
+	return d
+}
+
+// foreignDigest returns the known digests of other domains in turn.
+func (m *Machine) foreignDigest() Digest {
+	if len(m.digests) == 0 {
+		return Digest{}
+	}
+	m.digestTurn = (m.digestTurn + 1) % len(m.digests)
+	return m.digests[m.digestTurn]
+}
+
+// learnDigest keeps the newest digest of each other domain.
+func (m *Machine) learnDigest(d Digest) {
+	if d.Domain == "" || d.Domain == m.self.Domain {
+		return
+	}
+	i := slices.IndexFunc(m.digests, func(k Digest) bool { return k.Domain == d.Domain })
+	if i < 0 {
+		m.digests = append(m.digests, d)
+		return
+	}
+	if d.Stamp > m.digests[i].Stamp {
+		m.digests[i] = d
+	}
+}
