--- /dev/null
+++ b/internal/standin/callers/run.go
@@ -0,0 +1,77 @@
+// Package callers is a stand-in for the callers and for the fabric before the
+// entry hosts, for development and tests. It opens TCP and UDP flows, sends
+// each packet to a random entry host, loses and delays packets, and counts
+// what a caller would feel.
+package callers
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Run carries the flows of the options and reports their outcomes. It ends when
+// all outcomes are known, at the limit or with the context.
+func Run(ctx context.Context, options Options) (Report, error) {
+	if err := options.check(); err != nil {
+		return Report{}, err
+	}
+	f, err := newFabric(options.Listen, options.Hosts)
+	if err != nil {
+		return Report{}, err
+	}
+	defer func() { _ = f.socket.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, options.Limit)
+	defer cancel()
+	began := time.Now()
+	workers := newWorkers(&options, f)
+	go f.read(workers)
+	runAll(ctx, workers)
+	report := gather(&options, workers)
+	report.Sent = f.sent.Load()
+	report.Lost = f.lost.Load()
+	report.Received = f.received.Load()
+	report.Stray = f.stray.Load()
+	report.Duration = time.Since(began)
+	return report, nil
+}
+
+func newWorkers(o *Options, f *fabric) []*worker {
+	shares := make([][]start, o.Workers)
+	random := rand.New(rand.NewPCG(o.Seed, 0))
+	for i, g := range o.Groups {
+		for range g.Flows {
+			at := g.Start + time.Duration(random.Int64N(int64(g.Ramp)+1))
+			index := random.IntN(o.Workers)
+			shares[index] = append(shares[index], start{at: at, group: i})
+		}
+	}
+	workers := make([]*worker, o.Workers)
+	for i, share := range shares {
+		sort.Slice(share, func(a, b int) bool { return share[a].at < share[b].at })
+		workers[i] = newWorker(i, o, f, share)
+	}
+	return workers
+}
+
+func runAll(ctx context.Context, workers []*worker) {
+	var group sync.WaitGroup
+	for _, w := range workers {
+		group.Go(func() { w.run(ctx) })
+	}
+	group.Wait()
+}
+
+func gather(o *Options, workers []*worker) Report {
+	report := Report{Seed: o.Seed}
+	for i, g := range o.Groups {
+		total := newTally(g.Name)
+		for _, w := range workers {
+			total.merge(w.tallies[i])
+		}
+		report.Groups = append(report.Groups, total.finish(g.Name))
+	}
+	return report
+}
--- /dev/null
+++ b/internal/standin/callers/run_test.go
@@ -0,0 +1,196 @@
+package callers
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/packet"
+	"github.com/guavawharf/guavawharf/internal/standin/exchange"
+	"github.com/guavawharf/guavawharf/internal/standin/upstream"
+	"github.com/guavawharf/guavawharf/internal/standin/wire"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+var (
+	feed    = netip.MustParseAddrPort("198.51.100.10:443")
+	lookups = netip.MustParseAddrPort("[2001:db8::10]:53")
+	free    = netip.MustParseAddrPort("127.0.0.1:0")
+)
+
+// briefLimit ends runs whose flows are made to fail.
+const briefLimit = 2 * time.Second
+
+// choose returns the target's index for a packet, or refuse.
+type choose func(p wire.Packet) int
+
+const refuse = -1
+
+// forwarder stands for the entry hosts: it passes packets to targets.
+type forwarder struct {
+	socket  *net.UDPConn
+	targets []netip.AddrPort
+	back    netip.AddrPort
+	choose  choose
+}
+
+func startForwarder(t *testing.T, back netip.AddrPort, choose choose) *forwarder {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(free))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return &forwarder{socket: socket, back: back, choose: choose}
+}
+
+func (f *forwarder) run() {
+	var decoder wire.Decoder
+	answerer := packet.NewAnswerer()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, err := f.socket.Read(buffer)
+		if err != nil {
+			return
+		}
+		p, err := decoder.Decode(buffer[:n])
+		if err != nil {
+			continue
+		}
+		index := f.choose(p)
+		if index != refuse {
+			_, _ = f.socket.WriteToUDPAddrPort(buffer[:n], f.targets[index])
+			continue
+		}
+		if refusal, err := answerer.Refuse(buffer[:n], 10*time.Millisecond); err == nil {
+			_, _ = f.socket.WriteToUDPAddrPort(refusal, f.back)
+		}
+	}
+}
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(free))
+	require.NoError(t, err)
+	defer func() { _ = socket.Close() }()
+	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func target(id state.TargetID, service netip.AddrPort, protocol state.Protocol) upstream.Options {
+	return upstream.Options{
+		ID:          id,
+		Address:     free,
+		Service:     service,
+		Protocol:    protocol,
+		Slots:       3,
+		Connections: 2000,
+		QueueLimit:  100,
+		ServiceTime: time.Millisecond,
+	}
+}
+
+// play runs a small load through the forwarder and returns what both ends saw.
+func play(t *testing.T, loss float64, limit time.Duration, choose choose) (Report, []upstream.Counts) {
+	t.Helper()
+	back := freeAddress(t)
+	fleet, err := upstream.NewFleet([]upstream.Options{
+		target("feed-1", feed, state.TCP),
+		target("feed-2", feed, state.TCP),
+		target("lookup-1", lookups, state.UDP),
+		target("lookup-2", lookups, state.UDP),
+	}, back)
+	require.NoError(t, err)
+	t.Cleanup(fleet.Close)
+	f := startForwarder(t, back, choose)
+	f.targets = fleet.Addresses()
+	go f.run()
+	const seed = 7
+	t.Logf("seed %d", seed)
+	report, err := Run(t.Context(), Options{
+		Listen:  back,
+		Hosts:   []netip.AddrPort{f.socket.LocalAddr().(*net.UDPAddr).AddrPort()},
+		Seed:    seed,
+		Loss:    loss,
+		Delay:   time.Millisecond,
+		Jitter:  2 * time.Millisecond,
+		Workers: 4,
+		Limit:   limit,
+		Groups: []Group{
+			{Name: "deposits", Service: feed, Protocol: state.TCP, Flows: 40, Ramp: 300 * time.Millisecond,
+				Exchanges: 3, Interval: 50 * time.Millisecond, Kind: exchange.Deposit, AnswerSize: 5000},
+			{Name: "lookups", Service: lookups, Protocol: state.UDP, Flows: 20, Ramp: 300 * time.Millisecond,
+				Exchanges: 3, Interval: 50 * time.Millisecond, Kind: exchange.Fetch, AnswerSize: 100},
+		},
+	})
+	require.NoError(t, err)
+	return report, fleet.Counts()
+}
+
+func byFlow(p wire.Packet) int {
+	index := int(p.Source.Port() % 2)
+	if p.Protocol == state.UDP {
+		index += 2
+	}
+	return index
+}
+
+func sum(counts []upstream.Counts, field func(upstream.Counts) int64) int64 {
+	var total int64
+	for _, c := range counts {
+		total += field(c)
+	}
+	return total
+}
+
+func TestAllAnsweredUnderLoss(t *testing.T) {
+	report, counts := play(t, 0.02, time.Minute, byFlow)
+	total := report.Total()
+	require.Equal(t, 60, total.Flows)
+	require.Equal(t, 60, total.Answered)
+	require.Equal(t, 180, total.Requests)
+	require.Zero(t, total.Broken)
+	require.Positive(t, total.Retransmits)
+	require.Zero(t, sum(counts, func(c upstream.Counts) int64 { return c.RunTwice + c.WrongService + c.NeverOpened }))
+}
+
+func TestRefusedCallersComeBack(t *testing.T) {
+	refused := 0
+	report, counts := play(t, 0, time.Minute, func(p wire.Packet) int {
+		first := p.Flags.Has(wire.SYN) || p.Protocol == state.UDP
+		if first && refused < 30 {
+			refused++
+			return refuse
+		}
+		return byFlow(p)
+	})
+	total := report.Total()
+	require.Equal(t, 60, total.Answered)
+	require.Zero(t, total.RefusalsWithout)
+	require.Equal(t, 30, total.Refusals)
+	require.Zero(t, sum(counts, func(c upstream.Counts) int64 { return c.RunTwice }))
+}
+
+func TestSprayedTargetsBreakFlows(t *testing.T) {
+	next := 0
+	report, counts := play(t, 0, briefLimit, func(p wire.Packet) int {
+		next++
+		if p.Protocol == state.UDP {
+			return 2 + next%2
+		}
+		return next % 2
+	})
+	require.Positive(t, report.Total().Broken)
+	require.Positive(t, sum(counts, func(c upstream.Counts) int64 { return c.NeverOpened }))
+}
+
+func TestWrongServiceIsCounted(t *testing.T) {
+	_, counts := play(t, 0, briefLimit, func(p wire.Packet) int {
+		if p.Source.Port()%10 == 0 {
+			return 3 - byFlow(p)
+		}
+		return byFlow(p)
+	})
+	require.Positive(t, sum(counts, func(c upstream.Counts) int64 { return c.WrongService }))
+}
--- a/internal/standin/upstream/fleet.go
+++ b/internal/standin/upstream/fleet.go
@@ -56,3 +56,13 @@
 		t.close()
 	}
 }
+
+// Addresses returns where the upstreams receive packets, in the order of the
+// options.
+func (f *Fleet) Addresses() []netip.AddrPort {
+	all := make([]netip.AddrPort, len(f.targets))
+	for i, t := range f.targets {
+		all[i] = t.Address()
+	}
+	return all
+}
