Add the platform's HTTP client and the rpc edge between entry hosts

The client runs one call with a timeout, full jitter, a retry budget and a circuit breaker; a write whose answer was lost is never repeated blindly. The rpc edge keeps one connection and one bounded queue per peer, with a deadline per call; what can't be sent is dropped and counted. Calls of another version and malformed input are refused and counted.

Checked over loopback: delivery, full queue, dead and restarted peer, other versions, malformed bytes, busy workers, bounded connections, deadlines.

--- /dev/null
+++ b/internal/transport/platform/idempotent.go
@@ -0,0 +1,97 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// DoIdempotent is Do for conditional writes: after a lost answer it reads the
+// object back. A write found in place is ResultOK; one found not to have run is
+// repeated under its condition; one that can't be told apart stays
+// ResultUnknown, with the current object if it could be read.
+func (c *Client) DoIdempotent(ctx context.Context, call objects.Call) objects.Outcome {
+	outcome := c.Do(ctx, call)
+	if call.Verb != objects.VerbPut {
+		return outcome
+	}
+	for attempt := 1; outcome.Result == objects.ResultUnknown && attempt < c.settings.MaxAttempts; attempt++ {
+		current := c.Do(ctx, objects.Call{Verb: objects.VerbGet, Key: call.Key})
+		found := compareWritten(call, current)
+		c.counters.Add(CountReadBack+string(found), 1)
+		switch found {
+		case foundWritten:
+			return objects.Outcome{Result: objects.ResultOK, Object: current.Object}
+		case foundOverwritten:
+			return objects.Outcome{Result: objects.ResultUnknown, Object: current.Object}
+		case foundUnread:
+			return outcome
+		}
+		outcome = c.repeat(ctx, call)
+	}
+	return outcome
+}
+
+// repeat sends the write again. A failed condition may now be due to the first
+// attempt arriving late.
+func (c *Client) repeat(ctx context.Context, call objects.Call) objects.Outcome {
+	outcome := c.Do(ctx, call)
+	if outcome.Result != objects.ResultConflict {
+		return outcome
+	}
+	switch compareWritten(call, outcome) {
+	case foundWritten:
+		return objects.Outcome{Result: objects.ResultOK, Object: outcome.Object}
+	case foundOverwritten:
+		return objects.Outcome{Result: objects.ResultUnknown, Object: outcome.Object}
+	}
+	return outcome
+}
+
+// found tells what a read after a lost answer says about the write.
+type found string
+
+const (
+	// foundWritten means the object is the one written.
+	foundWritten found = "written"
+	// foundUnwritten means the condition still holds: the write has not run yet.
+	foundUnwritten found = "unwritten"
+	// foundOverwritten means that the object moved past the condition with
+	// another value; the write may have run before that.
+	foundOverwritten found = "overwritten"
+	// foundUnread means that the read failed too.
+	foundUnread found = "unread"
+)
+
+// compareWritten compares the current object with what was to be written.
+func compareWritten(call objects.Call, current objects.Outcome) found {
+	switch current.Result {
+	case objects.ResultAbsent:
+		if call.Version == 0 {
+			return foundUnwritten
+		}
+		return foundOverwritten
+	case objects.ResultOK, objects.ResultConflict:
+	default:
+		return foundUnread
+	}
+	version := current.Object.Version
+	if version == call.Version {
+		return foundUnwritten
+	}
+	if version == call.Version+1 && sameJSON(call.Value, current.Object.Value) {
+		return foundWritten
+	}
+	return foundOverwritten
+}
+
+// sameJSON compares two JSON texts but for white space.
+func sameJSON(a, b json.RawMessage) bool {
+	var left, right bytes.Buffer
+	if json.Compact(&left, a) != nil || json.Compact(&right, b) != nil {
+		return false
+	}
+	return bytes.Equal(left.Bytes(), right.Bytes())
+}
--- /dev/null
+++ b/internal/transport/platform/settings.go
@@ -0,0 +1,68 @@
+package platform
+
+import "time"
+
+// Settings of a Client. Zero fields take the default values.
+type Settings struct {
+	// Address is the base URL, such as "http://192.0.2.10:8500".
+	Address string
+	// Timeout bounds one attempt; a watch gets its own wait on top.
+	Timeout time.Duration
+	// MaxAttempts bounds the attempts of one call, the first included.
+	MaxAttempts int
+	// RetryRate and RetryBurst are the retry budget of the client, in retries a
+	// second and in retries at once.
+	RetryRate  float64
+	RetryBurst int
+	// BackOffMin and BackOffMax bound the upper end of the random back-off.
+	BackOffMin time.Duration
+	BackOffMax time.Duration
+	// FailuresToOpen consecutive failures open the circuit.
+	FailuresToOpen uint32
+	// OpenFor is how long an open circuit refuses calls before it tries one.
+	OpenFor time.Duration
+	// MaxConnections bounds the connections to the platform.
+	MaxConnections int
+}
+
+// Default values.
+const (
+	DefaultTimeout        = 2 * time.Second
+	DefaultMaxAttempts    = 3
+	DefaultRetryRate      = 1.0
+	DefaultRetryBurst     = 5
+	DefaultBackOffMin     = 100 * time.Millisecond
+	DefaultBackOffMax     = 2 * time.Second
+	DefaultFailuresToOpen = 5
+	DefaultOpenFor        = 2 * time.Second
+	DefaultMaxConnections = 8
+)
+
+// backOffFactor is the growth of the back-off from one retry to the next.
+const backOffFactor = 2
+
+// maxPageSize bounds the body of a list or watch in bytes.
+const maxPageSize = 64 << 20
+
+// orDefault returns value, or fallback for the zero value.
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// withDefaults fills in the zero fields.
+func (s Settings) withDefaults() Settings {
+	s.Timeout = orDefault(s.Timeout, DefaultTimeout)
+	s.MaxAttempts = orDefault(s.MaxAttempts, DefaultMaxAttempts)
+	s.RetryRate = orDefault(s.RetryRate, DefaultRetryRate)
+	s.RetryBurst = orDefault(s.RetryBurst, DefaultRetryBurst)
+	s.BackOffMin = orDefault(s.BackOffMin, DefaultBackOffMin)
+	s.BackOffMax = orDefault(s.BackOffMax, DefaultBackOffMax)
+	s.FailuresToOpen = orDefault(s.FailuresToOpen, DefaultFailuresToOpen)
+	s.OpenFor = orDefault(s.OpenFor, DefaultOpenFor)
+	s.MaxConnections = orDefault(s.MaxConnections, DefaultMaxConnections)
+	return s
+}
--- /dev/null
+++ b/internal/transport/rpc/peer.go
@@ -0,0 +1,121 @@
+package rpc
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"os"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/protocol/rpcapi"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// peer is the queue and the connection to one entry host. Its goroutine alone
+// uses conn and client.
+type peer struct {
+	owner  *Peers
+	to     state.Host
+	queue  chan message.Message
+	stop   chan struct{}
+	conn   net.Conn
+	client *rpc.Client
+}
+
+func newPeer(owner *Peers, to state.Host) *peer {
+	return &peer{
+		owner: owner,
+		to:    to,
+		queue: make(chan message.Message, owner.settings.QueueSize),
+		stop:  make(chan struct{}),
+	}
+}
+
+// run sends what is queued until the peer is idle or closed.
+func (p *peer) run() {
+	defer p.disconnect()
+	idle := time.NewTimer(p.owner.settings.IdleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case m := <-p.queue:
+			idle.Reset(p.owner.settings.IdleTimeout)
+			p.deliver(m)
+		case <-idle.C:
+			if p.owner.retire(p) {
+				return
+			}
+			idle.Reset(p.owner.settings.IdleTimeout)
+		}
+	}
+}
+
+// deliver sends one message, over a new connection if there is none.
+func (p *peer) deliver(m message.Message) {
+	if p.client == nil && !p.connect() {
+		p.owner.drop(causeConnect)
+		p.discardQueued()
+		return
+	}
+	envelope := rpcapi.Envelope{Version: rpcapi.Version, From: p.owner.self, Message: m}
+	var ack rpcapi.Ack
+	if err := p.call(envelope, &ack); err != nil {
+		p.disconnect()
+		p.owner.drop(callCause(err))
+		return
+	}
+	if !ack.Accepted {
+		p.owner.drop(causeRejected)
+		return
+	}
+	p.owner.counters.Add(CountSent, 1)
+}
+
+// call makes one call under the deadline of the connection.
+func (p *peer) call(envelope rpcapi.Envelope, ack *rpcapi.Ack) error {
+	if err := p.conn.SetDeadline(time.Now().Add(p.owner.settings.CallTimeout)); err != nil {
+		return err
+	}
+	if err := p.client.Call(rpcapi.MethodDeliver, envelope, ack); err != nil {
+		return err
+	}
+	return p.conn.SetDeadline(time.Time{})
+}
+
+func callCause(err error) cause {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return causeTimeout
+	}
+	return causeCall
+}
+
+func (p *peer) connect() bool {
+	conn, err := net.DialTimeout("tcp", p.to.Control.String(), p.owner.settings.DialTimeout)
+	if err != nil {
+		return false
+	}
+	p.conn = conn
+	p.client = rpc.NewClient(conn)
+	p.owner.counters.Add(CountConnection, 1)
+	return true
+}
+
+func (p *peer) disconnect() {
+	if p.client == nil {
+		return
+	}
+	_ = p.client.Close()
+	p.client = nil
+	p.conn = nil
+}
+
+// discardQueued drops messages that would only wait for the same failure.
+func (p *peer) discardQueued() {
+	for range len(p.queue) {
+		<-p.queue
+		p.owner.drop(causeConnect)
+	}
+}
--- /dev/null
+++ b/internal/transport/rpc/peers.go
@@ -0,0 +1,127 @@
+package rpc
+
+import (
+	"sync"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// PeerSettings bound the work towards other entry hosts. Zero fields take the
+// default values.
+type PeerSettings struct {
+	// QueueSize bounds the messages waiting for one peer.
+	QueueSize int
+	// MaxPeers bounds the peers with a queue and a connection.
+	MaxPeers int
+	// DialTimeout bounds opening a connection.
+	DialTimeout time.Duration
+	// CallTimeout bounds one message from writing it to its acknowledgement.
+	CallTimeout time.Duration
+	// IdleTimeout ends the queue and the connection of an unused peer.
+	IdleTimeout time.Duration
+}
+
+// Default values.
+const (
+	DefaultQueueSize       = 64
+	DefaultMaxPeers        = 2048
+	DefaultDialTimeout     = 500 * time.Millisecond
+	DefaultCallTimeout     = 1 * time.Second
+	DefaultPeerIdleTimeout = 5 * time.Minute
+)
+
+func (s PeerSettings) withDefaults() PeerSettings {
+	if s.QueueSize == 0 {
+		s.QueueSize = DefaultQueueSize
+	}
+	if s.MaxPeers == 0 {
+		s.MaxPeers = DefaultMaxPeers
+	}
+	if s.DialTimeout == 0 {
+		s.DialTimeout = DefaultDialTimeout
+	}
+	if s.CallTimeout == 0 {
+		s.CallTimeout = DefaultCallTimeout
+	}
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = DefaultPeerIdleTimeout
+	}
+	return s
+}
+
+// Peers sends messages to other entry hosts over one connection each. It is
+// safe for concurrent use.
+type Peers struct {
+	self     state.Host
+	settings PeerSettings
+	counters Counters
+
+	mu     sync.Mutex
+	closed bool
+	peers  map[state.Host]*peer
+	done   sync.WaitGroup
+}
+
+// NewPeers returns a sender without connections.
+func NewPeers(self state.Host, settings PeerSettings, counters Counters) *Peers {
+	return &Peers{
+		self:     self,
+		settings: settings.withDefaults(),
+		counters: counters,
+		peers:    make(map[state.Host]*peer),
+	}
+}
+
+// Send queues a message and returns at once. The message is dropped and counted
+// when the queue is full or the peer can't be reached in time.
+func (p *Peers) Send(to state.Host, m message.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		p.drop(causeClosed)
+		return
+	}
+	target, ok := p.peers[to]
+	if !ok && len(p.peers) >= p.settings.MaxPeers {
+		p.drop(causePeers)
+		return
+	}
+	if !ok {
+		target = newPeer(p, to)
+		p.peers[to] = target
+		p.done.Go(target.run)
+	}
+	select {
+	case target.queue <- m:
+	default:
+		p.drop(causeQueueFull)
+	}
+}
+
+func (p *Peers) drop(why cause) { p.counters.Add(CountDropped+string(why), 1) }
+
+// retire removes an idle peer unless a message was queued meanwhile.
+func (p *Peers) retire(target *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(target.queue) > 0 {
+		return false
+	}
+	delete(p.peers, target.to)
+	return true
+}
+
+// Close drops what is queued, closes the connections and waits for their end.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	if !p.closed {
+		p.closed = true
+		for _, target := range p.peers {
+			close(target.stop)
+		}
+	}
+	p.mu.Unlock()
+	p.done.Wait()
+}
--- /dev/null
+++ b/internal/transport/rpc/rpc_test.go
@@ -0,0 +1,237 @@
+package rpc
+
+import (
+	"context"
+	"encoding/gob"
+	"expvar"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/protocol/rpcapi"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+type note struct{ Text string }
+
+func (note) ControlMessage() {}
+
+type stranger struct{ Text string }
+
+func init() {
+	rpcapi.RegisterMessages(note{})
+	gob.Register(stranger{})
+}
+
+type fakeOperator struct{}
+
+func (fakeOperator) Hosts(rpcapi.Query) rpcapi.HostsReply {
+	return rpcapi.HostsReply{Answering: "a"}
+}
+func (fakeOperator) Targets(rpcapi.Query) rpcapi.TargetsReply   { return rpcapi.TargetsReply{} }
+func (fakeOperator) Flows(rpcapi.Query) rpcapi.FlowsReply       { return rpcapi.FlowsReply{} }
+func (fakeOperator) Counters(rpcapi.Query) rpcapi.CountersReply { return rpcapi.CountersReply{} }
+
+// bench is a running server and what it delivered.
+type bench struct {
+	host      state.Host
+	server    *Server
+	counters  *expvar.Map
+	delivered chan message.Message
+	// gate holds back deliveries while it is locked by the test.
+	gate chan struct{}
+}
+
+func startServer(t *testing.T, settings ServerSettings) *bench {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &bench{
+		host:      state.Host{ID: "b", Control: netip.MustParseAddrPort(listener.Addr().String())},
+		counters:  new(expvar.Map),
+		delivered: make(chan message.Message, 1024),
+		gate:      make(chan struct{}),
+	}
+	close(b.gate)
+	deliver := func(_ state.Host, m message.Message) {
+		<-b.gate
+		b.delivered <- m
+	}
+	b.server, err = NewServer(settings, deliver, fakeOperator{}, b.counters)
+	require.NoError(t, err)
+	go func() { _ = b.server.Serve(listener) }()
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func newSender(t *testing.T, settings PeerSettings) (*Peers, *expvar.Map) {
+	counters := new(expvar.Map)
+	self := state.Host{ID: "a", Control: netip.MustParseAddrPort("127.0.0.1:1")}
+	p := NewPeers(self, settings, counters)
+	t.Cleanup(p.Close)
+	return p, counters
+}
+
+func count(m *expvar.Map, name string) int64 {
+	if v, ok := m.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
+// eventually waits for a counter; the limit only ends a broken run.
+func eventually(t *testing.T, m *expvar.Map, name string, want int64) {
+	t.Helper()
+	require.Eventually(t, func() bool { return count(m, name) >= want }, 30*time.Second, time.Millisecond, name)
+}
+
+func TestMessagesShareOneConnection(t *testing.T) {
+	b := startServer(t, ServerSettings{})
+	peers, counters := newSender(t, PeerSettings{})
+	for range 20 {
+		peers.Send(b.host, note{Text: "x"})
+	}
+	for range 20 {
+		require.Equal(t, note{Text: "x"}, <-b.delivered)
+	}
+	eventually(t, counters, CountSent, 20)
+	require.EqualValues(t, 1, count(counters, CountConnection))
+}
+
+func TestFullQueueDropsAndCounts(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	to := state.Host{ID: "b", Control: netip.MustParseAddrPort(silent.Addr().String())}
+	peers, counters := newSender(t, PeerSettings{QueueSize: 2, CallTimeout: 50 * time.Millisecond})
+	for range 10 {
+		peers.Send(to, note{})
+	}
+	require.GreaterOrEqual(t, count(counters, CountDropped+"queue_full"), int64(7))
+	eventually(t, counters, CountDropped+"timeout", 1)
+}
+
+func TestUnreachablePeerDropsWhatIsQueued(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	to := state.Host{ID: "b", Control: netip.MustParseAddrPort(gone.Addr().String())}
+	require.NoError(t, gone.Close())
+	peers, counters := newSender(t, PeerSettings{})
+	for range 5 {
+		peers.Send(to, note{})
+	}
+	eventually(t, counters, CountDropped+"connect", 5)
+}
+
+func TestPeerIsReachedAgainAfterItsRestart(t *testing.T) {
+	b := startServer(t, ServerSettings{})
+	peers, counters := newSender(t, PeerSettings{})
+	peers.Send(b.host, note{Text: "one"})
+	require.Equal(t, note{Text: "one"}, <-b.delivered)
+	b.server.Close()
+	listener, err := net.Listen("tcp", b.host.Control.String())
+	require.NoError(t, err)
+	second := make(chan message.Message, 16)
+	server, err := NewServer(ServerSettings{}, func(_ state.Host, m message.Message) { second <- m }, fakeOperator{}, b.counters)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	go func() { _ = server.Serve(listener) }()
+	require.Eventually(t, func() bool {
+		peers.Send(b.host, note{Text: "two"})
+		return len(second) > 0
+	}, 30*time.Second, 5*time.Millisecond)
+	require.EqualValues(t, 2, count(counters, CountConnection))
+}
+
+func TestDeliverRefusals(t *testing.T) {
+	from := state.Host{ID: "a", Control: netip.MustParseAddrPort("127.0.0.1:1")}
+	cases := map[string]struct {
+		envelope rpcapi.Envelope
+		reason   string
+	}{
+		"other version": {rpcapi.Envelope{Version: rpcapi.Version + 1, From: from, Message: note{}}, "version"},
+		"no message":    {rpcapi.Envelope{Version: rpcapi.Version, From: from}, "malformed"},
+		"wrong type":    {rpcapi.Envelope{Version: rpcapi.Version, From: from, Message: stranger{}}, "malformed"},
+		"no sender":     {rpcapi.Envelope{Version: rpcapi.Version, Message: note{}}, "malformed"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := startServer(t, ServerSettings{})
+			var ack rpcapi.Ack
+			err := Call(t.Context(), b.host.Control.String(), rpcapi.MethodDeliver, c.envelope, &ack)
+			require.NoError(t, err)
+			require.False(t, ack.Accepted)
+			require.Equal(t, c.reason, ack.Reason)
+			require.EqualValues(t, 1, count(b.counters, CountRefused+c.reason))
+			require.Empty(t, b.delivered)
+		})
+	}
+}
+
+func TestBusyServerRefuses(t *testing.T) {
+	b := startServer(t, ServerSettings{Workers: 1})
+	b.gate = make(chan struct{})
+	from := state.Host{ID: "a", Control: netip.MustParseAddrPort("127.0.0.1:1")}
+	envelope := rpcapi.Envelope{Version: rpcapi.Version, From: from, Message: note{}}
+	var first, second rpcapi.Ack
+	address := b.host.Control.String()
+	require.NoError(t, Call(t.Context(), address, rpcapi.MethodDeliver, envelope, &first))
+	require.NoError(t, Call(t.Context(), address, rpcapi.MethodDeliver, envelope, &second))
+	close(b.gate)
+	require.True(t, first.Accepted)
+	require.Equal(t, rpcapi.Ack{Reason: "busy"}, second)
+}
+
+func TestMalformedBytesEndOnlyTheirConnection(t *testing.T) {
+	b := startServer(t, ServerSettings{})
+	for _, input := range []string{"\x00", "GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\xff\xff\xff\xff\xff\xff", "\x03\x04\x00\x00"} {
+		conn, err := net.Dial("tcp", b.host.Control.String())
+		require.NoError(t, err)
+		_, err = conn.Write([]byte(input))
+		require.NoError(t, err)
+		require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		_, _ = conn.Read(make([]byte, 1))
+		_ = conn.Close()
+	}
+	var reply rpcapi.HostsReply
+	query := rpcapi.Query{Version: rpcapi.Version}
+	require.NoError(t, Call(t.Context(), b.host.Control.String(), rpcapi.MethodHosts, query, &reply))
+	require.EqualValues(t, "a", reply.Answering)
+}
+
+func TestOperatorVersionIsChecked(t *testing.T) {
+	b := startServer(t, ServerSettings{})
+	for _, method := range []string{rpcapi.MethodHosts, rpcapi.MethodTargets, rpcapi.MethodFlows, rpcapi.MethodCounters} {
+		err := Call(t.Context(), b.host.Control.String(), method, rpcapi.Query{}, nil)
+		require.ErrorContains(t, err, ErrVersion.Error())
+		require.IsType(t, rpc.ServerError(""), err)
+	}
+	require.EqualValues(t, 4, count(b.counters, CountRefused+"version"))
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	b := startServer(t, ServerSettings{MaxConnections: 1})
+	caller, err := Dial(t.Context(), b.host.Control.String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	var reply rpcapi.HostsReply
+	query := rpcapi.Query{Version: rpcapi.Version}
+	require.NoError(t, caller.Call(t.Context(), rpcapi.MethodHosts, query, &reply))
+	require.Error(t, Call(t.Context(), b.host.Control.String(), rpcapi.MethodHosts, query, &reply))
+	require.EqualValues(t, 1, count(b.counters, CountRefused+"too_many_connections"))
+}
+
+func TestCallEndsAtItsDeadline(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = silent.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	err = Call(ctx, silent.Addr().String(), rpcapi.MethodHosts, rpcapi.Query{}, nil)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
