Place flows and keep their records at two owners

Cause: no packet could be decided on yet.

Change: Maglev tables per service with retained versions (lookup), an engine that finds each flow's owner pair by weighted rendezvous over the failure domains, keeps compact flow records, searches the owner chain for a missing record and copies records after a change of owners; a small virtual-time bed of engines, callers and targets to measure it.

Openings pass both owners; the second one answers only when it knows another verdict, so that agreement costs no message.

--- /dev/null
+++ b/internal/coordination/traffic/experiment/bed.go
@@ -0,0 +1,175 @@
+// Package experiment joins the engines of a few entry hosts by a small fake
+// link under virtual time, with callers that retransmit and targets that count
+// what a user would feel. It serves measurements and tests of package traffic;
+// membership and releases are scheduled by the caller, not simulated.
+package experiment
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Link describes delays and losses.
+type Link struct {
+	// Inside is the delay within a failure domain, Between that between two.
+	Inside  time.Duration
+	Between time.Duration
+	// Caller is the delay between a caller and any host or target.
+	Caller time.Duration
+	// Jitter is the largest relative increase of a delay.
+	Jitter float64
+	// Loss is the share of packets lost between failure domains, and of those
+	// between callers and hosts.
+	Loss float64
+}
+
+// event is something due at a time.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+// queue is a heap of events by time, then by order of creation.
+type queue []event
+
+func (q queue) Len() int      { return len(q) }
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q queue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].seq < q[j].seq
+}
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Counts is what a run measured.
+type Counts struct {
+	// Opened flows had an answer from a target; Broken ones then lost it.
+	Opened int
+	Broken int
+	// Refused flows were answered by an entry host; Unanswered gave up opening.
+	Refused    int
+	Unanswered int
+	Finished   int
+	// WrongService counts packets at a target of another service.
+	WrongService int
+	// TwoTargets counts flows whose payload reached a second target.
+	TwoTargets int
+	// RefusedSeen counts refused flows whose opening some target saw.
+	RefusedSeen int
+	// LateOpenings counts flows opened at a target long after it began to leave.
+	LateOpenings int
+	// Packets counts packets from callers that reached an entry host; Hops
+	// counts relays of them and BetweenHops those between failure domains.
+	Packets     int
+	Hops        int
+	BetweenHops int
+	// Notices counts record messages.
+	Notices int
+	// Reasons counts decisions by reason.
+	Reasons map[traffic.Reason]int
+}
+
+// Bed is a running experiment.
+type Bed struct {
+	Counts   Counts
+	Settings traffic.Settings
+	link     Link
+	random   *rand.Rand
+	start    time.Time
+	now      time.Duration
+	seq      uint64
+	events   queue
+	hosts    []*Host
+	byID     map[state.HostID]*Host
+	targets  map[state.TargetNumber]*Target
+	byKey    map[string]*Target
+	callers  int
+	flows    []*Flow
+	release  state.Release
+}
+
+// NewBed returns an experiment without hosts.
+func NewBed(seed uint64, link Link, settings traffic.Settings) *Bed {
+	return &Bed{
+		Counts:   Counts{Reasons: make(map[traffic.Reason]int)},
+		Settings: settings,
+		link:     link,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		start:    time.Unix(1_700_000_000, 0),
+		byID:     make(map[state.HostID]*Host),
+		targets:  make(map[state.TargetNumber]*Target),
+		byKey:    make(map[string]*Target),
+	}
+}
+
+// After schedules something.
+func (b *Bed) After(d time.Duration, do func()) {
+	b.seq++
+	heap.Push(&b.events, event{at: b.now + d, seq: b.seq, do: do})
+}
+
+// Run runs all events of the next d.
+func (b *Bed) Run(d time.Duration) {
+	end := b.now + d
+	for len(b.events) > 0 && b.events[0].at <= end {
+		next := heap.Pop(&b.events).(event)
+		b.now = next.at
+		next.do()
+	}
+	b.now = end
+}
+
+// Spread schedules something n times, evenly over d.
+func (b *Bed) Spread(n int, d time.Duration, do func(i int)) {
+	for i := range n {
+		b.After(d*time.Duration(i)/time.Duration(n), func() { do(i) })
+	}
+}
+
+// time returns the virtual time.
+func (b *Bed) time() time.Time { return b.start.Add(b.now) }
+
+// jittered lengthens a delay at random.
+func (b *Bed) jittered(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*b.link.Jitter*b.random.Float64())
+}
+
+// lost decides whether a packet is lost.
+func (b *Bed) lost() bool { return b.random.Float64() < b.link.Loss }
+
+// between sends something from one failure domain to another or the same.
+func (b *Bed) between(from, to state.DomainID, do func()) {
+	if from == to {
+		b.After(b.jittered(b.link.Inside), do)
+		return
+	}
+	if b.lost() {
+		return
+	}
+	b.After(b.jittered(b.link.Between), do)
+}
+
+// toCaller sends something between a caller and a host or target.
+func (b *Bed) toCaller(do func()) {
+	if b.lost() {
+		return
+	}
+	b.After(b.jittered(b.link.Caller), do)
+}
--- /dev/null
+++ b/internal/coordination/traffic/keep.go
@@ -0,0 +1,118 @@
+package traffic
+
+import (
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Parts of the table, in thousandths of MaxRecords. Openings stop first, so
+// that refusals are remembered and copies of open flows find room.
+const (
+	openingShareMilli = 900
+	refusalShareMilli = 950
+	copyShareMilli    = 1000
+)
+
+// limit returns the number of records up to which a share may fill the table.
+func (e *Engine) limit(shareMilli int) int {
+	return e.settings.MaxRecords * shareMilli / 1000
+}
+
+// keep records a verdict about the packet's flow, which has no record; nil when
+// the table is full.
+func (e *Engine) keep(f *flow, v judgement) *record {
+	r := e.insert(f.packet.Fingerprint, f.routes.entry.Number, v)
+	if r == nil {
+		return nil
+	}
+	r.pair = f.chain.signature()
+	r.refreshed = e.tick
+	if target := e.snap.Targets[r.target]; target != nil {
+		e.count(f.chain.first().self, r, target)
+	}
+	return r
+}
+
+// insert adds a record with a verdict; nil when the table is full.
+func (e *Engine) insert(fp state.Fingerprint, service state.ServiceNumber, v judgement) *record {
+	share := copyShareMilli
+	if v.verdict == relay.VerdictRefuse {
+		share = refusalShareMilli
+	}
+	r := e.records.insert(fp, e.limit(share))
+	if r == nil {
+		return nil
+	}
+	r.service = service
+	r.seen = e.tick
+	e.adopt(r, v)
+	return r
+}
+
+// adopt writes a verdict into a record.
+func (e *Engine) adopt(r *record, v judgement) {
+	e.setTarget(r, v.target)
+	r.reason = v.reason
+	r.retryAfter = v.retryAfter
+	r.phase = v.phase()
+	r.clear(flagTentative | flagGuessed)
+	if v.has(headerTentative) {
+		r.set(flagTentative)
+	}
+	if v.has(headerGuessed) {
+		r.set(flagGuessed)
+	}
+}
+
+// setTarget changes the record's target and the counters of both.
+func (e *Engine) setTarget(r *record, number state.TargetNumber) {
+	if r.target == number {
+		return
+	}
+	e.uncount(r)
+	r.target = number
+	if target := e.snap.Targets[number]; target != nil {
+		target.Load.Records.Add(1)
+		r.set(flagNamed)
+	}
+}
+
+// count counts a flow as open at its target while this host owns it first.
+func (e *Engine) count(owned bool, r *record, target *state.TargetEntry) {
+	if !r.has(flagNamed) {
+		target.Load.Records.Add(1)
+		r.set(flagNamed)
+	}
+	if owned == r.has(flagCounted) {
+		return
+	}
+	if owned {
+		target.Load.OpenFlows.Add(1)
+		r.set(flagCounted)
+		return
+	}
+	target.Load.OpenFlows.Add(-1)
+	r.clear(flagCounted)
+}
+
+// uncount takes the record out of its target's counters.
+func (e *Engine) uncount(r *record) {
+	target := e.snap.Targets[r.target]
+	if target == nil {
+		r.clear(flagCounted | flagNamed)
+		return
+	}
+	if r.has(flagCounted) {
+		target.Load.OpenFlows.Add(-1)
+	}
+	if r.has(flagNamed) {
+		target.Load.Records.Add(-1)
+	}
+	r.clear(flagCounted | flagNamed)
+}
+
+// remove deletes a record.
+func (e *Engine) remove(r *record) {
+	e.uncount(r)
+	e.records.remove(r.fingerprint)
+}
--- /dev/null
+++ b/internal/coordination/traffic/notices.go
@@ -0,0 +1,120 @@
+package traffic
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// recordHeader writes what a record says into a header of a kind.
+func recordHeader(kind relay.Kind, r *record) relay.Header {
+	h := judgementFrom(r).header(kind)
+	h.Service = r.service
+	h.Fingerprint = r.fingerprint
+	return h
+}
+
+// repair copies the record to owners that lack it: after a change of the owner
+// pair, and when the packet came along the chain because they had no record.
+func (e *Engine) repair(f *flow, r *record, d *Decision) {
+	searched := f.packet.Relayed && f.packet.Relay.Position > 0
+	recently := e.tick-r.refreshed < ticks(repairInterval)
+	if r.pair == f.chain.signature() && (!searched || recently) {
+		return
+	}
+	e.repairPair(f, r, d)
+}
+
+// repairInterval is the least time between two copies of a record that are
+// caused by packets searching for it.
+const repairInterval = time.Second
+
+// repairPair copies the record to the current owner pair.
+func (e *Engine) repairPair(f *flow, r *record, d *Decision) {
+	r.pair = f.chain.signature()
+	r.refreshed = e.tick
+	h := recordHeader(relay.KindRecord, r)
+	for _, owner := range f.chain.pair() {
+		if owner != nil && !owner.self {
+			d.notify(owner, h)
+		}
+	}
+}
+
+// HandleRecord takes a message about a flow record from another entry host. It
+// returns the messages that this causes.
+func (e *Engine) HandleRecord(now time.Time, snap *state.Snapshot, from state.HostID, h relay.Header) []Notice {
+	e.begin(now, snap)
+	switch h.Kind {
+	case relay.KindConfirm:
+		e.confirm(h)
+	case relay.KindRecord:
+		e.takeRecord(h)
+	case relay.KindForget:
+		e.forget(h)
+	}
+	return nil
+}
+
+// confirm takes the verdict of an owner that knew more than this one.
+func (e *Engine) confirm(h relay.Header) {
+	v := judgementOf(h)
+	v.flags &^= headerTentative
+	r := e.records.find(h.Fingerprint)
+	if r != nil && r.service == h.Service && r.has(flagTentative) && v.verdict != relay.VerdictNone {
+		e.adopt(r, v)
+		r.seen = e.tick
+		return
+	}
+	e.takeRecord(h)
+}
+
+// takeRecord takes a copy of a record.
+func (e *Engine) takeRecord(h relay.Header) {
+	v := judgementOf(h)
+	if v.verdict == relay.VerdictNone {
+		return
+	}
+	r := e.records.find(h.Fingerprint)
+	if r == nil {
+		e.insertCopy(h, v)
+		return
+	}
+	if r.service != h.Service {
+		return
+	}
+	if v.overrides(r) {
+		e.adopt(r, v)
+	}
+	if v.agrees(r) {
+		r.seen = e.tick
+		r.phase = max(r.phase, v.phase())
+	}
+}
+
+// insertCopy records what another owner holds, which sent it to both owners.
+func (e *Engine) insertCopy(h relay.Header, v judgement) {
+	r := e.insert(h.Fingerprint, h.Service, v)
+	entry := e.service(h.Service)
+	if r == nil || entry == nil {
+		return
+	}
+	c := e.routes(entry).chain(h.Fingerprint)
+	if c.len == 0 {
+		return
+	}
+	r.pair = c.signature()
+	r.refreshed = e.tick
+	if target := e.snap.Targets[r.target]; target != nil {
+		e.count(c.first().self, r, target)
+	}
+}
+
+// forget ends a record whose flow has ended elsewhere.
+func (e *Engine) forget(h relay.Header) {
+	r := e.records.find(h.Fingerprint)
+	if r != nil && r.service == h.Service && r.target == h.Target {
+		e.remove(r)
+	}
+}
--- /dev/null
+++ b/internal/coordination/traffic/place.go
@@ -0,0 +1,237 @@
+package traffic
+
+import (
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// maxProbes bounds the walk along a flow's hash sequence.
+const maxProbes = 64
+
+// judge decides about a new flow.
+func (e *Engine) judge(f *flow) judgement {
+	if e.records.count >= e.limit(openingShareMilli) {
+		return e.refuseNew(f, ReasonTableFull)
+	}
+	target, reason := e.place(f)
+	if target == nil {
+		return e.refuseNew(f, reason)
+	}
+	v := forwardTo(target.Number)
+	v.flags = headerTentative
+	return v
+}
+
+// refuseNew refuses a new flow, unless this host is too young to know that
+// nothing of it was forwarded.
+func (e *Engine) refuseNew(f *flow, reason Reason) judgement {
+	if !e.settled(f.chain.home) {
+		return undecided(ReasonUnsettled)
+	}
+	return refusal(reason, e.settings.RetryAfter)
+}
+
+// place chooses the target of a new flow, preferably in its placing domain;
+// nil and the reason when none may have it.
+func (e *Engine) place(f *flow) (*state.TargetEntry, Reason) {
+	home := f.routes.placeDomain(f.packet.Fingerprint)
+	if home != nil {
+		if target := e.placeIn(f, home.id); target != nil {
+			return target, ReasonNone
+		}
+	}
+	if target := e.placeIn(f, anyDomain); target != nil {
+		return target, ReasonNone
+	}
+	for _, target := range f.routes.entry.Entries {
+		if usable(target) {
+			return nil, ReasonConnectionLimit
+		}
+	}
+	return nil, ReasonNoTarget
+}
+
+// anyDomain stands for all failure domains.
+const anyDomain state.DomainID = ""
+
+// inDomain reports whether a target belongs to a domain or anyDomain.
+func inDomain(t *state.TargetEntry, domain state.DomainID) bool {
+	return domain == anyDomain || t.Domain == domain
+}
+
+// usable reports whether a target may have new flows, limits aside.
+func usable(t *state.TargetEntry) bool {
+	return !t.Leaving && !t.Withdrawn && !t.Ejected && t.Weight > 0 && t.ShareMilli > 0
+}
+
+// placeIn chooses among the targets of a domain; nil when none has room.
+func (e *Engine) placeIn(f *flow, domain state.DomainID) *state.TargetEntry {
+	switch e.settings.Placement {
+	case PlaceHash:
+		return e.firstInSequence(f, domain, e.hasRoom)
+	case PlaceTwoChoices:
+		return e.lesserOfTwo(f, domain)
+	default:
+		return e.bounded(f, domain)
+	}
+}
+
+// bounded takes the first target of the hash's sequence that is below its
+// bound, or else the least loaded.
+func (e *Engine) bounded(f *flow, domain state.DomainID) *state.TargetEntry {
+	group := e.sum(f.routes.entry, domain)
+	below := func(f *flow, t *state.TargetEntry) bool {
+		return e.hasRoom(f, t) && load(t) < group.bound(t, e.settings.BoundMilli)
+	}
+	if target := e.firstInSequence(f, domain, below); target != nil {
+		return target
+	}
+	return e.leastLoaded(f, domain)
+}
+
+// groupLoad sums the open flows and shares of the usable targets of a domain.
+type groupLoad struct {
+	flows  int64
+	shares int64
+}
+
+// sum adds up the usable targets of a domain.
+func (e *Engine) sum(entry *state.ServiceEntry, domain state.DomainID) groupLoad {
+	var g groupLoad
+	for _, t := range entry.Entries {
+		if !usable(t) || !inDomain(t, domain) {
+			continue
+		}
+		g.flows += load(t)
+		g.shares += share(t)
+	}
+	return g
+}
+
+// bound returns the number of flows below which a target takes one more.
+func (g groupLoad) bound(t *state.TargetEntry, boundMilli uint32) int64 {
+	if g.shares == 0 {
+		return 0
+	}
+	scaled := (g.flows + 1) * share(t) * int64(boundMilli)
+	whole := g.shares * 1000
+	return (scaled + whole - 1) / whole
+}
+
+// share is a target's part of its group's flows, in thousandths of a weight.
+func share(t *state.TargetEntry) int64 {
+	return int64(t.Weight) * int64(t.ShareMilli)
+}
+
+// load is the number of flows that this host owns at a target.
+func load(t *state.TargetEntry) int64 {
+	return max(t.Load.OpenFlows.Load(), 0)
+}
+
+// hasRoom reports whether a target may have a new flow within this owner's part
+// of its connection limit.
+func (e *Engine) hasRoom(f *flow, t *state.TargetEntry) bool {
+	if !usable(t) {
+		return false
+	}
+	if t.Connections == 0 {
+		return true
+	}
+	owners := f.routes.view.owners(t.Domain)
+	return load(t)*int64(owners) < int64(t.Connections)
+}
+
+// owners returns the number of hosts that place flows on targets of a domain.
+func (v *viewIndex) owners(id state.DomainID) int {
+	if domain := v.domain(id); domain != nil && len(domain.alive) > 0 {
+		return len(domain.alive)
+	}
+	return max(v.alive, 1)
+}
+
+// firstInSequence returns the first target of the hash's sequence in a domain
+// that is accepted; nil if none is.
+func (e *Engine) firstInSequence(f *flow, domain state.DomainID, accept func(*flow, *state.TargetEntry) bool) *state.TargetEntry {
+	table := f.routes.entry.Tables[0]
+	for i := uint64(0); i < maxProbes; i++ {
+		t := e.snap.Targets[table.Lookup(probe(f.packet.Fingerprint, i))]
+		if t != nil && inDomain(t, domain) && accept(f, t) {
+			return t
+		}
+	}
+	return nil
+}
+
+// probe is the i-th hash of a flow's sequence.
+func probe(fp state.Fingerprint, i uint64) uint64 {
+	if i == 0 {
+		return fp.Low
+	}
+	return mix64(fp.Low + i)
+}
+
+// hashTarget returns the target that a table alone gives a flow; nil if the
+// table is empty.
+func (e *Engine) hashTarget(f *flow, table *state.LookupTable) *state.TargetEntry {
+	home := f.routes.placeDomain(f.packet.Fingerprint)
+	var any *state.TargetEntry
+	for i := uint64(0); i < maxProbes; i++ {
+		t := e.snap.Targets[table.Lookup(probe(f.packet.Fingerprint, i))]
+		if t == nil {
+			continue
+		}
+		if home == nil || t.Domain == home.id {
+			return t
+		}
+		if any == nil {
+			any = t
+		}
+	}
+	return any
+}
+
+// leastLoaded returns the target of a domain with room and the least load for
+// its share; nil if none has room.
+func (e *Engine) leastLoaded(f *flow, domain state.DomainID) *state.TargetEntry {
+	var best *state.TargetEntry
+	for _, t := range f.routes.entry.Entries {
+		if !inDomain(t, domain) || !e.hasRoom(f, t) {
+			continue
+		}
+		if best == nil || lighter(t, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+// lighter reports whether a has less load for its share than b.
+func lighter(a, b *state.TargetEntry) bool {
+	return load(a)*share(b) < load(b)*share(a)
+}
+
+// lesserOfTwo returns the lighter of two random targets of a domain with room;
+// nil if none has room.
+func (e *Engine) lesserOfTwo(f *flow, domain state.DomainID) *state.TargetEntry {
+	a := e.randomTarget(f, domain)
+	b := e.randomTarget(f, domain)
+	if a == nil || b == nil || lighter(a, b) {
+		return a
+	}
+	return b
+}
+
+// randomTarget returns a random target of a domain with room; nil if none has.
+func (e *Engine) randomTarget(f *flow, domain state.DomainID) *state.TargetEntry {
+	var chosen *state.TargetEntry
+	seen := 0
+	for _, t := range f.routes.entry.Entries {
+		if !inDomain(t, domain) || !e.hasRoom(f, t) {
+			continue
+		}
+		seen++
+		if e.random.IntN(seen) == 0 {
+			chosen = t
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/coordination/traffic/second.go
@@ -0,0 +1,108 @@
+package traffic
+
+import (
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// asSecond decides about a packet that carries the verdict of the first owner.
+func (e *Engine) asSecond(f *flow) Decision {
+	incoming := judgementOf(f.packet.Relay)
+	if incoming.verdict == relay.VerdictNone {
+		return drop(ReasonForeignHeader)
+	}
+	r := e.records.find(f.packet.Fingerprint)
+	if r != nil && (r.service != f.routes.entry.Number || opens(f.packet.Kind) && r.replaceable()) {
+		e.remove(r)
+		r = nil
+	}
+	if r == nil {
+		return e.adoptUnknown(f, incoming)
+	}
+	if incoming.overrides(r) {
+		e.adopt(r, incoming)
+		return e.executeRecord(f, r)
+	}
+	d := e.executeRecord(f, r)
+	if partner := f.chain.partner(); partner != nil && !incoming.agrees(r) {
+		d.notify(partner, recordHeader(relay.KindConfirm, r))
+	}
+	return d
+}
+
+// adoptUnknown takes the verdict for a flow that this host has no record of.
+func (e *Engine) adoptUnknown(f *flow, v judgement) Decision {
+	if v.verdict == relay.VerdictRefuse && !e.settled(f.chain.home) {
+		return drop(ReasonUnsettled)
+	}
+	if v.has(headerFresh) && e.isLeaving(v.target) {
+		return e.overrule(f)
+	}
+	r := e.keep(f, v)
+	former := e.formerOwner(f)
+	if former != nil && v.has(headerFresh) && f.packet.Relay.Position < formerPosition {
+		h := v.header(relay.KindOpening)
+		h.Position = formerPosition
+		return e.relayHeader(f, former, h, ReasonToPrevious)
+	}
+	if r == nil {
+		d := e.execute(f, v)
+		if d.Verb == VerbForward {
+			d.Reason = ReasonNoCopy
+		}
+		return d
+	}
+	return e.executeRecord(f, r)
+}
+
+// isLeaving reports whether a target is known to take no new flows for good.
+func (e *Engine) isLeaving(number state.TargetNumber) bool {
+	target := e.snap.Targets[number]
+	return target != nil && (target.Leaving || target.Withdrawn)
+}
+
+// formerPosition marks a verdict sent to the owner before a change of owners.
+const formerPosition = maxCandidates
+
+// overrule places a new flow itself because the first owner, by an older
+// snapshot, chose a target that is leaving.
+func (e *Engine) overrule(f *flow) Decision {
+	v := e.judge(f)
+	if v.verdict == relay.VerdictNone {
+		return drop(v.reason)
+	}
+	r := e.keep(f, v)
+	d := e.execute(f, v)
+	if r != nil {
+		r.clear(flagTentative)
+		if partner := f.chain.partner(); partner != nil {
+			d.notify(partner, recordHeader(relay.KindConfirm, r))
+		}
+	}
+	return d
+}
+
+// executeRecord carries the record's verdict out for the packet.
+func (e *Engine) executeRecord(f *flow, r *record) Decision {
+	r.clear(flagTentative)
+	if !r.forwards() {
+		return e.refusedAgain(f, r)
+	}
+	target := e.snap.Targets[r.target]
+	if target == nil {
+		return e.returnToOwner(f, r)
+	}
+	e.observe(f, r, target)
+	r.refreshed = e.tick
+	return e.forward(r.service, r.target, ReasonNone)
+}
+
+// returnToOwner hands a packet back to the owner that knows the target.
+func (e *Engine) returnToOwner(f *flow, r *record) Decision {
+	partner := f.chain.partner()
+	if partner == nil {
+		return drop(ReasonUnknownTarget)
+	}
+	h := recordHeader(relay.KindPacket, r)
+	return e.relayHeader(f, partner, h, ReasonToOwner)
+}
--- /dev/null
+++ b/internal/coordination/traffic/settings.go
@@ -0,0 +1,76 @@
+package traffic
+
+import "time"
+
+// Placement selects how a new flow gets its target.
+type Placement uint8
+
+// Placements.
+const (
+	// PlaceBounded takes the hash's target unless it is above its bound, then
+	// the next in the hash's sequence.
+	PlaceBounded Placement = iota
+	// PlaceHash takes the hash's target whatever its load.
+	PlaceHash
+	// PlaceTwoChoices takes the less loaded of two random targets.
+	PlaceTwoChoices
+)
+
+// Settings are the tunables of an Engine. Zero fields take their default.
+type Settings struct {
+	// MaxRecords bounds the flow records of the engine.
+	MaxRecords int
+	// Placement selects how new flows are placed.
+	Placement Placement
+	// BoundMilli is the bound of PlaceBounded over the mean, in thousandths.
+	BoundMilli uint32
+	// Settle is how long a young process or view neither refuses nor falls back.
+	Settle time.Duration
+	// Overlap is how long after a change of owners an opening also visits the
+	// owner before the change.
+	Overlap time.Duration
+	// IdleTimeout applies to services that give none.
+	IdleTimeout time.Duration
+	// OpeningTimeout ends the record of a flow that sent openings alone.
+	OpeningTimeout time.Duration
+	// ClosingTimeout ends the record of a flow that sent FIN or RST.
+	ClosingTimeout time.Duration
+	// RetryAfter is what refused callers are told.
+	RetryAfter time.Duration
+	// SingleOwner switches the second owner and the search off. It exists to
+	// show what they are for.
+	SingleOwner bool
+}
+
+// Defaults of Settings.
+const (
+	DefaultMaxRecords     = 1 << 17
+	DefaultBoundMilli     = 1100
+	DefaultSettle         = 500 * time.Millisecond
+	DefaultOverlap        = 3 * time.Second
+	DefaultIdleTimeout    = 5 * time.Minute
+	DefaultOpeningTimeout = 20 * time.Second
+	DefaultClosingTimeout = 30 * time.Second
+	DefaultRetryAfter     = 2 * time.Second
+)
+
+// withDefaults fills the zero fields.
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.MaxRecords, DefaultMaxRecords)
+	setDefault(&s.BoundMilli, DefaultBoundMilli)
+	setDefault(&s.Settle, DefaultSettle)
+	setDefault(&s.Overlap, DefaultOverlap)
+	setDefault(&s.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&s.OpeningTimeout, DefaultOpeningTimeout)
+	setDefault(&s.ClosingTimeout, DefaultClosingTimeout)
+	setDefault(&s.RetryAfter, DefaultRetryAfter)
+	return s
+}
+
+// setDefault sets a zero field.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/coordination/traffic/snapshot.go
@@ -0,0 +1,106 @@
+package traffic
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// takeSnapshot prepares what is derived from a new snapshot.
+func (e *Engine) takeSnapshot(snap *state.Snapshot) {
+	sameView := e.snap != nil && e.snap.View.Epoch == snap.View.Epoch && e.snap.Leaving == snap.Leaving
+	e.snap = snap
+	e.reused = reusedAddresses(snap)
+	clear(e.entries)
+	for _, entry := range snap.Services {
+		e.entries[entry.Number] = entry
+	}
+	if !sameView {
+		e.view = newViewIndex(e.now, snap, e.view)
+	}
+}
+
+// service returns the entry of a service, nil if the release has none.
+func (e *Engine) service(number state.ServiceNumber) *state.ServiceEntry {
+	return e.entries[number]
+}
+
+// routes returns the routes of a service under the current view. Those before
+// a change of owners stay reachable for the time of Settings.Overlap.
+func (e *Engine) routes(entry *state.ServiceEntry) *serviceRoutes {
+	old := e.services[entry.Number]
+	if old != nil && old.entry == entry && old.view == e.view {
+		return old
+	}
+	r := newServiceRoutes(entry, e.view)
+	e.services[entry.Number] = r
+	if old == nil {
+		return r
+	}
+	r.former = old.former
+	r.formerUntil = old.formerUntil
+	if old.view != e.view || !slices.Equal(old.owning, r.owning) {
+		old.former = nil
+		r.former = old
+		r.formerUntil = e.now.Add(e.settings.Overlap)
+	}
+	return r
+}
+
+// formerOwner returns the flow's first owner before a recent change of owners;
+// nil if there was no change or the owner is in the current pair.
+func (e *Engine) formerOwner(f *flow) *hostRoute {
+	former := f.routes.former
+	if former == nil || e.now.After(f.routes.formerUntil) {
+		return nil
+	}
+	c := former.chain(f.packet.Fingerprint)
+	if c.len == 0 || c.first().self {
+		return nil
+	}
+	owner := e.view.host(c.first().id)
+	if owner == nil || owner == f.chain.first() || owner == f.chain.second() {
+		return nil
+	}
+	return owner
+}
+
+// settled reports whether this host may refuse flows of a home domain: neither
+// its process nor its view of the domain is young.
+func (e *Engine) settled(home *domainRoute) bool {
+	if e.now.Sub(e.started) < e.settings.Settle {
+		return false
+	}
+	return e.now.Sub(home.changed) >= e.settings.Settle
+}
+
+// reusedAddresses returns the withdrawn targets whose address now belongs to a
+// target of another service; nil if there are none.
+func reusedAddresses(snap *state.Snapshot) map[state.TargetNumber]bool {
+	var current map[netip.AddrPort]state.ServiceNumber
+	for _, target := range snap.Targets {
+		if !target.Withdrawn {
+			continue
+		}
+		if current == nil {
+			current = make(map[netip.AddrPort]state.ServiceNumber)
+		}
+		current[target.Address] = target.Service
+	}
+	if current == nil {
+		return nil
+	}
+	for _, target := range snap.Targets {
+		if _, wanted := current[target.Address]; wanted && !target.Withdrawn {
+			current[target.Address] = target.Service
+		}
+	}
+	reused := make(map[state.TargetNumber]bool)
+	for _, target := range snap.Targets {
+		if target.Withdrawn && current[target.Address] != target.Service {
+			reused[target.Number] = true
+		}
+	}
+	return reused
+}
--- /dev/null
+++ b/internal/coordination/traffic/sweep.go
@@ -0,0 +1,125 @@
+package traffic
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Factors of the timeouts of copies.
+const (
+	openCopyFactor    = 2
+	openingCopyFactor = 3
+)
+
+// Sweep visits up to budget records, goes on where the last call stopped, ends
+// idle records and returns copies for owners that lack them after a change.
+func (e *Engine) Sweep(now time.Time, snap *state.Snapshot, budget int) []Notice {
+	e.begin(now, snap)
+	var notices []Notice
+	for range min(budget, e.records.slots()) {
+		if e.sweepAt >= e.records.slots() {
+			e.sweepAt = 0
+		}
+		r := e.records.walk(e.sweepAt)
+		e.sweepAt++
+		if r == nil {
+			continue
+		}
+		if e.expired(r) {
+			e.remove(r)
+			continue
+		}
+		notices = e.copyToPair(notices, r, false)
+	}
+	return notices
+}
+
+// PassOn visits up to budget records and returns copies of them for the owners
+// that should hold them now. done is true once all records were visited.
+func (e *Engine) PassOn(now time.Time, snap *state.Snapshot, budget int) (notices []Notice, done bool) {
+	e.begin(now, snap)
+	for range budget {
+		if e.passOnAt >= e.records.slots() {
+			return notices, true
+		}
+		r := e.records.walk(e.passOnAt)
+		e.passOnAt++
+		if r != nil {
+			notices = e.copyToPair(notices, r, true)
+		}
+	}
+	return notices, e.passOnAt >= e.records.slots()
+}
+
+// copyToPair adds copies of a record for its owner pair if the pair changed
+// since the last copies or always is set.
+func (e *Engine) copyToPair(notices []Notice, r *record, always bool) []Notice {
+	entry := e.service(r.service)
+	if entry == nil {
+		return notices
+	}
+	c := e.routes(entry).chain(r.fingerprint)
+	if c.len == 0 {
+		return notices
+	}
+	signature := c.signature()
+	if r.pair == signature && !always {
+		return notices
+	}
+	r.pair = signature
+	if target := e.snap.Targets[r.target]; target != nil {
+		e.count(c.first().self, r, target)
+	}
+	h := recordHeader(relay.KindRecord, r)
+	for _, owner := range c.pair() {
+		if owner != nil && !owner.self {
+			notices = append(notices, Notice{To: owner.id, Header: h})
+		}
+	}
+	return notices
+}
+
+// expired reports whether a record's flow has been idle for its timeout.
+func (e *Engine) expired(r *record) bool {
+	idle := e.tick - r.seen
+	if idle > maxIdle {
+		return false
+	}
+	return idle > ticks(e.timeout(r))
+}
+
+// maxIdle is above any idle time; a larger difference is a record seen after
+// the current time.
+const maxIdle = 1 << 31
+
+// timeout returns the idle time after which a record ends.
+func (e *Engine) timeout(r *record) time.Duration {
+	switch r.phase {
+	case phaseRefused:
+		return retryDuration(r.retryAfter)
+	case phaseOpening:
+		return e.copyTimeout(r, e.settings.OpeningTimeout, openingCopyFactor)
+	case phaseClosing:
+		return e.settings.ClosingTimeout
+	}
+	return e.copyTimeout(r, e.idleTimeout(e.service(r.service)), openCopyFactor)
+}
+
+// copyTimeout lengthens a timeout for records that this host does not own
+// first: the first owner sees every packet, others only some.
+func (e *Engine) copyTimeout(r *record, timeout time.Duration, factor time.Duration) time.Duration {
+	if r.has(flagCounted) {
+		return timeout
+	}
+	return timeout * factor
+}
+
+// idleTimeout returns the idle timeout of a service, which may be nil.
+func (e *Engine) idleTimeout(entry *state.ServiceEntry) time.Duration {
+	if entry == nil || entry.IdleTimeout == 0 {
+		return e.settings.IdleTimeout
+	}
+	return entry.IdleTimeout
+}
--- /dev/null
+++ b/internal/coordination/traffic/view.go
@@ -0,0 +1,124 @@
+package traffic
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// hostRoute is an entry host as a candidate to own flows.
+type hostRoute struct {
+	id   state.HostID
+	seed uint64
+	// instance changes when the host restarts.
+	instance uint64
+	leaving  bool
+	self     bool
+}
+
+// domainRoute is a failure domain with its candidates.
+type domainRoute struct {
+	id   state.DomainID
+	seed uint64
+	// alive hosts may own new flows; leaving ones answer for their records.
+	alive   []*hostRoute
+	leaving []*hostRoute
+	// changed is when the domain's alive hosts last changed in this view.
+	changed time.Time
+}
+
+// viewIndex is a membership view prepared for choosing owners.
+type viewIndex struct {
+	domains []*domainRoute
+	// alive is the number of hosts that may own new flows.
+	alive int
+}
+
+// newViewIndex prepares the view of a snapshot. Domains whose alive hosts are
+// as in previous, which may be nil, keep their time of change.
+func newViewIndex(now time.Time, snap *state.Snapshot, previous *viewIndex) *viewIndex {
+	index := &viewIndex{}
+	for _, m := range snap.View.Members {
+		if m.Status == state.HostDead {
+			continue
+		}
+		domain := index.addDomain(m.Domain)
+		host := newHostRoute(m, snap)
+		if host.leaving {
+			domain.leaving = append(domain.leaving, host)
+			continue
+		}
+		domain.alive = append(domain.alive, host)
+		index.alive++
+	}
+	slices.SortFunc(index.domains, func(a, b *domainRoute) int { return cmp.Compare(a.id, b.id) })
+	for _, domain := range index.domains {
+		domain.changed = now
+		if old := previous.domain(domain.id); old != nil && sameHosts(old.alive, domain.alive) {
+			domain.changed = old.changed
+		}
+	}
+	return index
+}
+
+// newHostRoute prepares one member.
+func newHostRoute(m state.Member, snap *state.Snapshot) *hostRoute {
+	self := m.ID == snap.Self.ID
+	seed := xxh3.HashString(string(m.ID))
+	return &hostRoute{
+		id:       m.ID,
+		seed:     seed,
+		instance: mix64(seed + m.Incarnation),
+		leaving:  m.Status == state.HostLeaving || self && snap.Leaving,
+		self:     self,
+	}
+}
+
+// addDomain returns the domain's entry, adding it if needed.
+func (v *viewIndex) addDomain(id state.DomainID) *domainRoute {
+	if domain := v.domain(id); domain != nil {
+		return domain
+	}
+	domain := &domainRoute{id: id, seed: xxh3.HashString(string(id))}
+	v.domains = append(v.domains, domain)
+	return domain
+}
+
+// domain returns a domain's entry, nil if there is none.
+func (v *viewIndex) domain(id state.DomainID) *domainRoute {
+	if v == nil {
+		return nil
+	}
+	for _, domain := range v.domains {
+		if domain.id == id {
+			return domain
+		}
+	}
+	return nil
+}
+
+// host returns a host of the view, nil if there is none.
+func (v *viewIndex) host(id state.HostID) *hostRoute {
+	for _, domain := range v.domains {
+		for _, h := range domain.alive {
+			if h.id == id {
+				return h
+			}
+		}
+		for _, h := range domain.leaving {
+			if h.id == id {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+// sameHosts reports whether two host lists, sorted by ID, are the same.
+func sameHosts(a, b []*hostRoute) bool {
+	return slices.EqualFunc(a, b, func(x, y *hostRoute) bool { return x.id == y.id })
+}
--- /dev/null
+++ b/internal/state/lookup/carry.go
@@ -0,0 +1,149 @@
+package lookup
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// MaxTables bounds the table versions retained for a service.
+const MaxTables = 8
+
+// fullShareMilli is the share of a target that nothing holds back.
+const fullShareMilli = 1000
+
+// Carry returns the entry of a service under a new release. previous is the
+// entry under the release before, nil for a new service; it is returned itself
+// when the service has not changed. Health and load counters pass on, a
+// withdrawn target stays while flow records name it, and the newest MaxTables
+// table versions are retained.
+func Carry(previous *state.ServiceEntry, service state.Service, version state.ReleaseVersion) *state.ServiceEntry {
+	if previous == nil {
+		return newEntry(service, version)
+	}
+	if unchanged(previous.Service, service) {
+		return previous
+	}
+	next := &state.ServiceEntry{
+		Service:   service,
+		Tables:    previous.Tables,
+		Truncated: previous.Truncated,
+		Entries:   carryTargets(previous.Entries, service),
+		Domains:   domainWeights(service.Targets),
+	}
+	if !sameTable(previous.Targets, service.Targets) {
+		next.Tables = pushTable(previous.Tables, buildVersion(service, version))
+		next.Truncated = previous.Truncated || len(previous.Tables) == MaxTables
+	}
+	return next
+}
+
+// DropBase returns the entry without table versions older than base; entry
+// itself when there are none. A caller does so once no open flow needs them.
+func DropBase(entry *state.ServiceEntry, base state.ReleaseVersion) *state.ServiceEntry {
+	keep := len(entry.Tables)
+	for keep > 1 && entry.Tables[keep-2].Version <= base {
+		keep--
+	}
+	if keep == len(entry.Tables) && !entry.Truncated {
+		return entry
+	}
+	next := *entry
+	next.Tables = slices.Clone(entry.Tables[:keep])
+	next.Truncated = false
+	return &next
+}
+
+// newEntry makes the entry of a service that had none.
+func newEntry(service state.Service, version state.ReleaseVersion) *state.ServiceEntry {
+	return &state.ServiceEntry{
+		Service: service,
+		Tables:  []*state.LookupTable{buildVersion(service, version)},
+		Entries: carryTargets(nil, service),
+		Domains: domainWeights(service.Targets),
+	}
+}
+
+// buildVersion builds the table of a service and stamps the version.
+func buildVersion(service state.Service, version state.ReleaseVersion) *state.LookupTable {
+	table := Build(service.Targets)
+	table.Version = version
+	return table
+}
+
+// pushTable puts the newest table first and drops what exceeds MaxTables.
+func pushTable(tables []*state.LookupTable, newest *state.LookupTable) []*state.LookupTable {
+	kept := tables[:min(len(tables), MaxTables-1)]
+	return append([]*state.LookupTable{newest}, kept...)
+}
+
+// unchanged reports whether two versions of a service are the same.
+func unchanged(a, b state.Service) bool {
+	targets := slices.Equal(a.Targets, b.Targets)
+	return targets && a.ID == b.ID && a.Number == b.Number && a.Customer == b.Customer &&
+		a.Protocol == b.Protocol && a.Address == b.Address &&
+		a.Way == b.Way && a.IdleTimeout == b.IdleTimeout
+}
+
+// sameTable reports whether two target lists, sorted by ID, give one table.
+func sameTable(a, b []state.Target) bool {
+	return slices.EqualFunc(usableTargets(a), usableTargets(b), func(x, y state.Target) bool {
+		return x.Number == y.Number && x.Weight == y.Weight
+	})
+}
+
+// carryTargets makes the target entries of a service.
+func carryTargets(previous []*state.TargetEntry, service state.Service) []*state.TargetEntry {
+	known := make(map[state.TargetNumber]*state.TargetEntry, len(previous))
+	for _, old := range previous {
+		known[old.Number] = old
+	}
+	entries := make([]*state.TargetEntry, 0, len(service.Targets))
+	for _, t := range service.Targets {
+		entries = append(entries, carryTarget(known[t.Number], t, service.Number))
+		delete(known, t.Number)
+	}
+	for _, old := range previous {
+		if known[old.Number] == nil || old.Load.Records.Load() == 0 {
+			continue
+		}
+		withdrawn := *old
+		withdrawn.Withdrawn = true
+		entries = append(entries, &withdrawn)
+	}
+	return entries
+}
+
+// carryTarget makes the entry of one target; old is nil for a new one.
+func carryTarget(old *state.TargetEntry, t state.Target, service state.ServiceNumber) *state.TargetEntry {
+	entry := &state.TargetEntry{Target: t, Service: service, ShareMilli: fullShareMilli}
+	if old == nil {
+		entry.Load = &state.TargetLoad{}
+		return entry
+	}
+	entry.Ejected = old.Ejected
+	entry.ShareMilli = old.ShareMilli
+	entry.Load = old.Load
+	return entry
+}
+
+// domainWeights sums the target weights by failure domain.
+func domainWeights(targets []state.Target) []state.DomainWeight {
+	var weights []state.DomainWeight
+	for _, t := range targets {
+		i := slices.IndexFunc(weights, func(w state.DomainWeight) bool { return w.Domain == t.Domain })
+		if i < 0 {
+			i = len(weights)
+			weights = append(weights, state.DomainWeight{Domain: t.Domain})
+		}
+		weights[i].Weight += t.Weight
+		if takesFlows(t) {
+			weights[i].Usable += t.Weight
+		}
+	}
+	slices.SortFunc(weights, func(a, b state.DomainWeight) int {
+		return cmp.Compare(a.Domain, b.Domain)
+	})
+	return weights
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -16,6 +16,9 @@
 type TargetLoad struct {
 	// OpenFlows is the number of flows this host owns at the target.
 	OpenFlows atomic.Int64
+	// Records is the number of flow records that name the target, copies kept
+	// for other owners included. A withdrawn target stays while it is not 0.
+	Records atomic.Int64
 	// Openings counts flow openings forwarded.
 	Openings atomic.Int64
 	// Completed counts openings that the caller's next packet acknowledged.
@@ -61,8 +64,22 @@
 	// Tables holds the retained table versions, newest first; the last is the
 	// base version.
 	Tables []*LookupTable
+	// Truncated is true when a table version was dropped that open flows may
+	// still need; WayContested then treats every slot as contested.
+	Truncated bool
 	// Entries are the service's targets, withdrawn ones with open flows included.
 	Entries []*TargetEntry
+	// Domains holds the target weights by failure domain, sorted by Domain.
+	Domains []DomainWeight
+}
+
+// DomainWeight is the sum of the weights of a service's targets in one domain.
+type DomainWeight struct {
+	Domain DomainID
+	// Weight counts every target of the release; it decides who owns flows.
+	Weight uint32
+	// Usable leaves leaving targets out; it decides where flows are placed.
+	Usable uint32
 }
 
 // Snapshot is everything that traffic reads. Control publishes a new one for
