--- /dev/null
+++ b/internal/protocol/note/note.go
@@ -0,0 +1,204 @@
+// Package note decodes release notes written in TOML. It checks what a note
+// says by itself; state.Apply checks it against a release.
+package note
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/tomldoc"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Limits and defaults of a note.
+const (
+	// MaxSize is the largest note in bytes; it leaves room for the encoding of
+	// the stored object under the platform's limit.
+	MaxSize = 512 << 10
+
+	DefaultDeadline = 30 * time.Second
+	MinDeadline     = time.Second
+	MaxDeadline     = time.Hour
+
+	DefaultIdleTimeout = 15 * time.Minute
+	MinIdleTimeout     = time.Second
+	MaxIdleTimeout     = 24 * time.Hour
+
+	DefaultSlots       = 1
+	DefaultConnections = 2000
+	maxSlots           = 65535
+	maxConnections     = 1 << 20
+	maxCustomerWeight  = 1000
+	maxVersion         = 1 << 53
+)
+
+// Names of the ways and protocols in a note.
+const (
+	WayOwner     = "owner"
+	WayContested = "contested"
+	WayHash      = "hash"
+	ProtocolTCP  = "tcp"
+	ProtocolUDP  = "udp"
+)
+
+// Decode returns the note in a TOML document, or every issue in it.
+func Decode(data []byte) (*state.Note, tomldoc.Issues) {
+	if len(data) > MaxSize {
+		return nil, tomldoc.Issues{tooLarge(len(data))}
+	}
+	root, issues := tomldoc.Parse(data)
+	if len(issues) > 0 {
+		return nil, issues
+	}
+	note := decodeRoot(root)
+	if issues := root.Finish(); len(issues) > 0 {
+		return nil, issues
+	}
+	return note, nil
+}
+
+func tooLarge(size int) tomldoc.Issue {
+	message := fmt.Sprintf("is %d bytes long; allowed: at most %d", size, MaxSize)
+	return tomldoc.Issue{Key: "document", Message: message}
+}
+
+func decodeRoot(root *tomldoc.Table) *state.Note {
+	note := &state.Note{
+		ID:       state.NoteID(root.Name("id")),
+		Base:     state.ReleaseVersion(root.RequiredInteger("base", 0, maxVersion)),
+		Deadline: root.Duration("deadline", DefaultDeadline, MinDeadline, MaxDeadline),
+	}
+	note.Without = names[state.DomainID](root, "without")
+	decodeSet(root.Sub("set"), note)
+	decodeAdd(root.Sub("add"), note)
+	decodeChange(root.Sub("change"), note)
+	decodeWithdraw(root.Sub("withdraw"), note)
+	return note
+}
+
+func names[ID ~string](table *tomldoc.Table, key string) []ID {
+	var ids []ID
+	for _, name := range table.Names(key) {
+		ids = append(ids, ID(name))
+	}
+	return ids
+}
+
+func decodeSet(set *tomldoc.Table, note *state.Note) {
+	for _, table := range set.List("customer") {
+		note.SetCustomers = append(note.SetCustomers, state.Customer{
+			ID:     state.CustomerID(table.Name("id")),
+			Weight: uint32(table.Integer("weight", state.MinWeight, state.MinWeight, maxCustomerWeight)),
+		})
+	}
+}
+
+func decodeAdd(add *tomldoc.Table, note *state.Note) {
+	for _, table := range add.List("domain") {
+		note.AddDomains = append(note.AddDomains, state.DomainID(table.Name("id")))
+	}
+	for _, table := range add.List("service") {
+		note.AddServices = append(note.AddServices, decodeService(table))
+	}
+	for _, table := range add.List("target") {
+		note.AddTargets = append(note.AddTargets, decodeTarget(table))
+	}
+}
+
+func decodeService(table *tomldoc.Table) state.ServiceSpec {
+	return state.ServiceSpec{
+		ID:          state.ServiceID(table.Name("id")),
+		Customer:    state.CustomerID(table.Name("customer")),
+		Protocol:    decodeProtocol(table),
+		Address:     table.AddrPort("address"),
+		Way:         decodeWay(table, WayOwner),
+		IdleTimeout: table.Duration("idle_timeout", DefaultIdleTimeout, MinIdleTimeout, MaxIdleTimeout),
+	}
+}
+
+func decodeProtocol(table *tomldoc.Table) state.Protocol {
+	if table.OneOf("protocol", ProtocolTCP, ProtocolTCP, ProtocolUDP) == ProtocolUDP {
+		return state.UDP
+	}
+	return state.TCP
+}
+
+func decodeWay(table *tomldoc.Table, fallback string) state.Way {
+	switch table.OneOf("way", fallback, WayOwner, WayContested, WayHash) {
+	case WayContested:
+		return state.WayContested
+	case WayHash:
+		return state.WayHash
+	default:
+		return state.WayOwner
+	}
+}
+
+func decodeTarget(table *tomldoc.Table) state.TargetSpec {
+	return state.TargetSpec{
+		ID:          state.TargetID(table.Name("id")),
+		Service:     state.ServiceID(table.Name("service")),
+		Domain:      state.DomainID(table.Name("domain")),
+		Address:     table.AddrPort("address"),
+		Weight:      uint32(table.Integer("weight", state.MinWeight, state.MinWeight, state.MaxWeight)),
+		Slots:       uint32(table.Integer("slots", DefaultSlots, 1, maxSlots)),
+		Connections: uint32(table.Integer("connections", DefaultConnections, 1, maxConnections)),
+	}
+}
+
+func decodeChange(change *tomldoc.Table, note *state.Note) {
+	for _, table := range change.List("service") {
+		note.ChangeServices = append(note.ChangeServices, decodeServiceChange(table))
+	}
+	for _, table := range change.List("target") {
+		note.ChangeTargets = append(note.ChangeTargets, decodeTargetChange(table))
+	}
+}
+
+func decodeServiceChange(table *tomldoc.Table) state.ServiceChange {
+	change := state.ServiceChange{ID: state.ServiceID(table.Name("id"))}
+	if table.Has("way") {
+		way := decodeWay(table, WayOwner)
+		change.Way = &way
+	}
+	if table.Has("idle_timeout") {
+		timeout := table.Duration("idle_timeout", DefaultIdleTimeout, MinIdleTimeout, MaxIdleTimeout)
+		change.IdleTimeout = &timeout
+	}
+	return change
+}
+
+func decodeTargetChange(table *tomldoc.Table) state.TargetChange {
+	change := state.TargetChange{ID: state.TargetID(table.Name("id"))}
+	change.Weight = optionalInteger(table, "weight", state.MinWeight, state.MaxWeight)
+	change.Slots = optionalInteger(table, "slots", 1, maxSlots)
+	change.Connections = optionalInteger(table, "connections", 1, maxConnections)
+	if table.Has("leaving") {
+		leaving := table.Bool("leaving", false)
+		change.Leaving = &leaving
+	}
+	return change
+}
+
+func optionalInteger(table *tomldoc.Table, key string, low, high int64) *uint32 {
+	if !table.Has(key) {
+		return nil
+	}
+	number := uint32(table.Integer(key, low, low, high))
+	return &number
+}
+
+func decodeWithdraw(withdraw *tomldoc.Table, note *state.Note) {
+	for _, table := range withdraw.List("domain") {
+		note.WithdrawDomains = append(note.WithdrawDomains, state.DomainID(table.Name("id")))
+	}
+	for _, table := range withdraw.List("customer") {
+		note.WithdrawCustomers = append(note.WithdrawCustomers, state.CustomerID(table.Name("id")))
+	}
+	for _, table := range withdraw.List("service") {
+		note.WithdrawServices = append(note.WithdrawServices, state.ServiceID(table.Name("id")))
+	}
+	for _, table := range withdraw.List("target") {
+		note.WithdrawTargets = append(note.WithdrawTargets, state.TargetID(table.Name("id")))
+	}
+}
--- a/internal/protocol/tomldoc/values.go
+++ b/internal/protocol/tomldoc/values.go
@@ -93,8 +93,17 @@
 
 // Integer returns an optional whole number from low to high, or the default.
 func (t *Table) Integer(key string, fallback, low, high int64) int64 {
+	return t.integer(key, false, fallback, low, high)
+}
+
+// RequiredInteger returns a required whole number from low to high.
+func (t *Table) RequiredInteger(key string, low, high int64) int64 {
+	return t.integer(key, true, 0, low, high)
+}
+
+func (t *Table) integer(key string, required bool, fallback, low, high int64) int64 {
 	allowed := fmt.Sprintf("a whole number from %d to %d", low, high)
-	value, present := t.take(key, false, allowed)
+	value, present := t.take(key, required, allowed)
 	if !present {
 		return fallback
 	}
