Add the verbs of guavactl behind narrow interfaces

Cause: operators hand notes in and read them back; a lost answer must not apply a note twice, and two racing notes must have one named winner. Change: package ctl: apply, check, status, history, hosts, targets, flows and counters, table or JSON, with the contract's exit codes.

--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,120 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/samber/oops"
+)
+
+// Codes of a note that cannot be handed in.
+const (
+	CodeNoteIDTaken   = "note_id_taken"
+	CodeHeadContended = "head_contended"
+)
+
+// Attempts and pauses of the hand-in.
+const (
+	maxHeadAttempts = 20
+	pollInterval    = 200 * time.Millisecond
+)
+
+// HandIn stores the note and makes it pending. It is idempotent by note id: a
+// repeated call for a note that is pending or decided changes nothing. An
+// error with CodeNoteIDTaken means the note was not handed in; any other error
+// leaves the outcome unknown.
+func (s *Store) HandIn(ctx context.Context, note *state.Note, now time.Time) error {
+	if err := s.createNote(ctx, note, now); err != nil {
+		return err
+	}
+	for range maxHeadAttempts {
+		done, err := s.submit(ctx, note, now)
+		if done || err != nil {
+			return err
+		}
+	}
+	return oops.Code(CodeHeadContended).Errorf("the head changed %d times while handing in", maxHeadAttempts)
+}
+
+// createNote writes the note's object, or makes sure that it is there already.
+func (s *Store) createNote(ctx context.Context, note *state.Note, now time.Time) error {
+	key := objects.PrefixNotes + string(note.ID)
+	stored := objects.Note{ID: note.ID, Content: *note, Submitted: now}
+	outcome, err := s.put(ctx, key, 0, stored)
+	if err != nil || outcome.Result == objects.ResultOK {
+		return err
+	}
+	if outcome.Result == objects.ResultRefused {
+		return failure(key, outcome)
+	}
+	var present objects.Note
+	version, err := s.get(ctx, key, &present)
+	if err != nil {
+		return err
+	}
+	if version == 0 {
+		return failure(key, outcome)
+	}
+	if !sameNote(&present.Content, note) {
+		return oops.Code(CodeNoteIDTaken).With("note", note.ID).
+			Errorf("another note has the id %s", note.ID)
+	}
+	return nil
+}
+
+func sameNote(a, b *state.Note) bool {
+	first, errFirst := json.Marshal(a)
+	second, errSecond := json.Marshal(b)
+	return errFirst == nil && errSecond == nil && bytes.Equal(first, second)
+}
+
+// submit tries once to make the note pending. After a lost answer the caller
+// tries again: the next read of the head shows whether the update took effect.
+func (s *Store) submit(ctx context.Context, note *state.Note, now time.Time) (bool, error) {
+	head, version, err := s.Head(ctx)
+	if err != nil {
+		return false, err
+	}
+	next, changed := head.Submit(*note, now)
+	if !changed {
+		return true, nil
+	}
+	outcome, err := s.put(ctx, objects.KeyHead, version, next)
+	if err != nil {
+		return false, err
+	}
+	switch outcome.Result {
+	case objects.ResultOK:
+		return true, nil
+	case objects.ResultRefused:
+		return false, failure(objects.KeyHead, outcome)
+	default:
+		return false, nil
+	}
+}
+
+// Wait reads the note's status until it is final or ctx ends. The last status
+// that was read is returned with the error of the last read.
+func (s *Store) Wait(ctx context.Context, id state.NoteID) (NoteStatus, error) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	last := NoteStatus{Note: id, State: StateUnknown}
+	for {
+		status, err := s.Status(ctx, id)
+		if err == nil {
+			last = status
+		}
+		if last.Final() {
+			return last, nil
+		}
+		select {
+		case <-ctx.Done():
+			return last, err
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/flags.go
@@ -0,0 +1,100 @@
+package ctl
+
+import (
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+const examples = `
+Examples:
+  guavactl check note.toml --platform http://192.0.2.10:8500
+  guavactl apply note.toml --platform http://192.0.2.10:8500 --wait 30s
+  guavactl status 2026-12-03-feed --platform http://192.0.2.10:8500
+  guavactl hosts --host 192.0.2.21:6082 --host 192.0.2.22:6082
+  guavactl counters --host 192.0.2.21:6082 --output json
+
+Exit codes of apply: 0 in force, 1 refused, 2 wrong usage or note, 3 outcome not yet known.`
+
+// verbHelp describes each verb on the command line.
+type verbHelp struct {
+	verb Verb
+	text string
+	// argument names the positional value, empty for none.
+	argument string
+	required bool
+}
+
+var verbs = []verbHelp{
+	{VerbApply, "Hand a release note in and wait for its outcome.", "NOTE.toml", true},
+	{VerbCheck, "Check a release note against the newest release; change nothing.", "NOTE.toml", true},
+	{VerbStatus, "Tell how a note stands in each failure domain; without an id, the newest.", "NOTE-ID", false},
+	{VerbHistory, "List the notes that were decided, newest first.", "", false},
+	{VerbHosts, "List the entry hosts that a host knows, and whether it is ready.", "", false},
+	{VerbTargets, "List the targets as a host sees them.", "", false},
+	{VerbFlows, "Count the flows that a host owns, by service.", "", false},
+	{VerbCounters, "List a host's counters.", "", false},
+}
+
+// ParseFlags parses the command line. Help, version and unknown flags end the
+// process, as flaggy does.
+func ParseFlags(version string, args []string) (Options, error) {
+	options := Options{Output: OutputTable, Wait: DefaultWait, Timeout: DefaultTimeout}
+	parser := flaggy.NewParser("guavactl")
+	parser.Description = "guavactl drives guavawharf by release notes and reads how it stands."
+	parser.Version = version
+	parser.AdditionalHelpAppend = examples
+	arguments := make([]string, len(verbs))
+	commands := make([]*flaggy.Subcommand, len(verbs))
+	for i, help := range verbs {
+		commands[i] = newSubcommand(help, &options, &arguments[i])
+		parser.AttachSubcommand(commands[i], 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return options, err
+	}
+	for i, command := range commands {
+		if command.Used {
+			options.Verb = verbs[i].verb
+			options.setArgument(arguments[i])
+		}
+	}
+	return options, nil
+}
+
+func newSubcommand(help verbHelp, options *Options, argument *string) *flaggy.Subcommand {
+	command := flaggy.NewSubcommand(string(help.verb))
+	command.Description = help.text
+	if help.argument != "" {
+		command.AddPositionalValue(argument, help.argument, 1, help.required, help.text)
+	}
+	if help.verb.needsPlatform() {
+		command.String(&options.PlatformURL, "p", "platform", "URL of the platform's object API")
+	} else {
+		command.StringSlice(&options.Hosts, "c", "host", "control address of an entry host, as IP:port; may be repeated")
+	}
+	if help.verb == VerbTargets || help.verb == VerbFlows {
+		command.String(&options.Service, "s", "service", "only this service")
+	}
+	if help.verb == VerbApply {
+		command.Duration(&options.Wait, "w", "wait", "how long to wait for the outcome")
+	}
+	command.String(&options.Output, "o", "output", "table or json")
+	command.Duration(&options.Timeout, "t", "timeout", "bound of one read")
+	return command
+}
+
+func (o *Options) setArgument(argument string) {
+	switch o.Verb {
+	case VerbApply, VerbCheck:
+		o.File = argument
+	case VerbStatus:
+		o.Note = argument
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Wait < 0 {
+		o.Wait = time.Duration(0)
+	}
+}
--- /dev/null
+++ b/internal/ctl/notes.go
@@ -0,0 +1,157 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/note"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/samber/oops"
+)
+
+// load reads and decodes the note file; a nil note comes with an exit code.
+func (c *Command) load() (*state.Note, int) {
+	data, err := os.ReadFile(c.options.File)
+	if err != nil {
+		return nil, c.usage(err.Error())
+	}
+	decoded, issues := note.Decode(data)
+	if len(issues) > 0 {
+		fmt.Fprintln(c.errors, issues.Error())
+		return nil, ExitUsage
+	}
+	return decoded, ExitInForce
+}
+
+// check validates the note against the newest release and changes nothing.
+func (c *Command) check(ctx context.Context) int {
+	decoded, code := c.load()
+	if decoded == nil {
+		return code
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	release, err := c.store.Release(ctx)
+	if err != nil {
+		return c.unknown(err)
+	}
+	next, problems := state.Apply(release, decoded)
+	for _, problem := range problems {
+		fmt.Fprintln(c.errors, problem.String())
+	}
+	if len(problems) > 0 {
+		return ExitRefused
+	}
+	fmt.Fprintf(c.out, "note %s can make release %d\n", decoded.ID, next.Version)
+	return ExitInForce
+}
+
+// apply hands the note in and waits for its outcome.
+func (c *Command) apply(ctx context.Context) int {
+	decoded, code := c.load()
+	if decoded == nil {
+		return code
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.Wait)
+	defer cancel()
+	err := c.store.HandIn(ctx, decoded, c.now())
+	if isRefusal(err) {
+		fmt.Fprintln(c.errors, "guavactl: "+err.Error())
+		return ExitRefused
+	}
+	if err != nil {
+		return c.unknown(err)
+	}
+	status, err := c.store.Wait(ctx, decoded.ID)
+	if err != nil {
+		fmt.Fprintln(c.errors, "guavactl: "+err.Error())
+	}
+	if err := c.renderStatus(status); err != nil {
+		return c.unknown(err)
+	}
+	return exitCode(status)
+}
+
+// isRefusal reports whether the error says that the note was not handed in.
+func isRefusal(err error) bool {
+	coded, ok := oops.AsOops(err)
+	return ok && coded.Code() == CodeNoteIDTaken
+}
+
+func exitCode(status NoteStatus) int {
+	switch status.State {
+	case objects.NoteInForce:
+		return ExitInForce
+	case objects.NoteRefused:
+		return ExitRefused
+	default:
+		return ExitUnknown
+	}
+}
+
+// status prints one note, or the note pending or accepted last.
+func (c *Command) status(ctx context.Context) error {
+	id := state.NoteID(c.options.Note)
+	if id == "" {
+		return c.statusAll(ctx)
+	}
+	status, err := c.store.Status(ctx, id)
+	if err != nil {
+		return err
+	}
+	return c.renderStatus(status)
+}
+
+func (c *Command) renderStatus(status NoteStatus) error {
+	table := Table{Header: []string{"NOTE", "STATE", "RELEASE", "DOMAIN", "STAGED", "RUNS", "SINCE", "AWAITED", "REASON"}}
+	if len(status.Domains) == 0 {
+		table.add(status.Note, status.State, status.Version, "", "", "", status.At, "", status.Reason)
+	}
+	for _, domain := range status.Domains {
+		reason := domain.Reason
+		if len(domain.Behind) > 0 {
+			reason += " behind: " + joined(domain.Behind)
+		}
+		table.add(status.Note, status.State, status.Version, domain.Domain,
+			domain.Staged, domain.Runs, domain.Since, domain.Awaited, reason)
+	}
+	return render(c.out, c.options.Output, status, table)
+}
+
+// statusAll prints every note that the head names, with the domains of the
+// newest one that was not refused.
+func (c *Command) statusAll(ctx context.Context) error {
+	rows, err := c.store.History(ctx)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		if row.State == objects.NoteRefused {
+			continue
+		}
+		status, err := c.store.Status(ctx, row.Note.ID)
+		if err != nil {
+			return err
+		}
+		return c.renderStatus(status)
+	}
+	return c.renderHistory(rows)
+}
+
+func (c *Command) history(ctx context.Context) error {
+	rows, err := c.store.History(ctx)
+	if err != nil {
+		return err
+	}
+	return c.renderHistory(rows)
+}
+
+func (c *Command) renderHistory(rows []objects.Decision) error {
+	table := Table{Header: []string{"NOTE", "STATE", "RELEASE", "AT", "WITHOUT", "REASON"}}
+	for _, row := range rows {
+		table.add(row.Note.ID, row.State, row.Note.Version, row.At, joined(row.Without), row.Reason)
+	}
+	return render(c.out, c.options.Output, rows, table)
+}
--- /dev/null
+++ b/internal/ctl/platform_test.go
@@ -0,0 +1,86 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// fakePlatform is an object store in memory. losing counts the writes whose
+// answer is lost after they took effect.
+type fakePlatform struct {
+	stored map[string]objects.Object
+	keys   []string
+	losing int
+	down   bool
+	// beforePut runs ahead of each write, as another operator would.
+	beforePut func(call objects.Call)
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{stored: make(map[string]objects.Object)}
+}
+
+func (f *fakePlatform) Do(_ context.Context, call objects.Call) objects.Outcome {
+	if f.down {
+		return objects.Outcome{Result: objects.ResultUnknown}
+	}
+	switch call.Verb {
+	case objects.VerbGet:
+		return f.read(call.Key)
+	case objects.VerbList:
+		return f.list(call.Key)
+	default:
+		return f.write(call)
+	}
+}
+
+func (f *fakePlatform) read(key string) objects.Outcome {
+	object, present := f.stored[key]
+	if !present {
+		return objects.Outcome{Result: objects.ResultAbsent}
+	}
+	return objects.Outcome{Result: objects.ResultOK, Object: object}
+}
+
+func (f *fakePlatform) list(prefix string) objects.Outcome {
+	var page objects.Page
+	for _, key := range f.keys {
+		if strings.HasPrefix(key, prefix) {
+			page.Objects = append(page.Objects, f.stored[key])
+		}
+	}
+	return objects.Outcome{Result: objects.ResultOK, Page: page}
+}
+
+func (f *fakePlatform) write(call objects.Call) objects.Outcome {
+	if hook := f.beforePut; hook != nil {
+		f.beforePut = nil
+		hook(call)
+	}
+	current := f.stored[call.Key]
+	if current.Version != call.Version {
+		return objects.Outcome{Result: objects.ResultConflict, Object: current}
+	}
+	if current.Version == 0 {
+		f.keys = append(f.keys, call.Key)
+	}
+	object := objects.Object{Key: call.Key, Version: current.Version + 1, Value: call.Value}
+	f.stored[call.Key] = object
+	if f.losing > 0 {
+		f.losing--
+		return objects.Outcome{Result: objects.ResultUnknown}
+	}
+	return objects.Outcome{Result: objects.ResultOK, Object: object}
+}
+
+// set stores a value without conditions, as an entry host would in the end.
+func (f *fakePlatform) set(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	f.write(objects.Call{Key: key, Version: f.stored[key].Version, Value: data})
+}
--- /dev/null
+++ b/internal/ctl/render.go
@@ -0,0 +1,66 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Table is rows of text under a header.
+type Table struct {
+	Header []string
+	Rows   [][]string
+}
+
+// add appends a row, each cell in its default format.
+func (t *Table) add(cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, cell := range cells {
+		row = append(row, cellText(cell))
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+func cellText(cell any) string {
+	if at, ok := cell.(time.Time); ok {
+		return timeText(at)
+	}
+	if text := fmt.Sprint(cell); text != "" {
+		return text
+	}
+	return "-"
+}
+
+func timeText(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return at.UTC().Format(time.RFC3339)
+}
+
+// joined returns a list of names as one cell.
+func joined[ID ~string](ids []ID) string {
+	names := make([]string, 0, len(ids))
+	for _, id := range ids {
+		names = append(names, string(id))
+	}
+	return strings.Join(names, ",")
+}
+
+// render writes the value as JSON or the table as text.
+func render(out io.Writer, format string, value any, table Table) error {
+	if format == OutputJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	writer := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, strings.Join(table.Header, "\t"))
+	for _, row := range table.Rows {
+		fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	return writer.Flush()
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,227 @@
+package ctl
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// StateUnknown is the state of a note that the platform does not tell.
+const StateUnknown objects.NoteState = "unknown"
+
+// NoteStatus is how a release note stands.
+type NoteStatus struct {
+	Note    state.NoteID         `json:"note"`
+	State   objects.NoteState    `json:"state"`
+	Version state.ReleaseVersion `json:"version"`
+	Reason  string               `json:"reason,omitempty"`
+	// At is when the note was accepted or refused.
+	At time.Time `json:"at,omitzero"`
+	// Deadline is when a pending note is refused.
+	Deadline time.Time        `json:"deadline,omitzero"`
+	Without  []state.DomainID `json:"without,omitempty"`
+	Domains  []DomainStatus   `json:"domains"`
+}
+
+// Final reports whether the status cannot change any more.
+func (s NoteStatus) Final() bool {
+	return s.State == objects.NoteInForce || s.State == objects.NoteRefused
+}
+
+// DomainStatus is how a note stands in one failure domain.
+type DomainStatus struct {
+	Domain state.DomainID       `json:"domain"`
+	Staged string               `json:"staged"`
+	Reason string               `json:"reason,omitempty"`
+	Runs   state.ReleaseVersion `json:"runs"`
+	Since  time.Time            `json:"since,omitzero"`
+	Behind []state.HostID       `json:"behind,omitempty"`
+	// Awaited says what is missing; empty when the note is in force there.
+	Awaited string `json:"awaited,omitempty"`
+}
+
+// Status returns how one note stands.
+func (s *Store) Status(ctx context.Context, id state.NoteID) (NoteStatus, error) {
+	head, _, err := s.Head(ctx)
+	if err != nil {
+		return NoteStatus{}, err
+	}
+	var stored objects.Note
+	version, err := s.get(ctx, objects.PrefixNotes+string(id), &stored)
+	if err != nil {
+		return NoteStatus{}, err
+	}
+	if version == 0 {
+		return NoteStatus{Note: id, State: StateUnknown, Reason: "no such note"}, nil
+	}
+	return s.status(ctx, head, stored)
+}
+
+func (s *Store) status(ctx context.Context, head objects.Head, note objects.Note) (NoteStatus, error) {
+	status := describe(head, note)
+	if status.State == objects.NoteRefused {
+		return status, nil
+	}
+	staged, err := s.staged(ctx, note.ID)
+	if err != nil {
+		return status, err
+	}
+	inForce, err := s.inForce(ctx)
+	if err != nil {
+		return status, err
+	}
+	domains, err := s.domains(ctx, note)
+	if err != nil {
+		return status, err
+	}
+	for _, domain := range domains {
+		status.Domains = append(status.Domains, domainStatus(domain, status, staged, inForce))
+	}
+	status.raise()
+	return status, nil
+}
+
+// describe tells the state that the head alone gives.
+func describe(head objects.Head, note objects.Note) NoteStatus {
+	status := NoteStatus{
+		Note:    note.ID,
+		State:   objects.NoteSubmitted,
+		Version: note.Content.Base + 1,
+		Without: note.Content.Without,
+	}
+	if decision, decided := head.Decision(note.ID); decided {
+		status.State = decision.State
+		status.Reason = decision.Reason
+		status.At = decision.At
+		return status
+	}
+	if head.Pending != nil && head.Pending.Note.ID == note.ID {
+		status.Deadline = head.Pending.Deadline
+		return status
+	}
+	status.State = StateUnknown
+	status.Reason = "stored, but neither pending nor among the decisions kept; apply it again"
+	return status
+}
+
+// raise moves a submitted note to staged and an accepted one to in force when
+// every domain that counts says so.
+func (s *NoteStatus) raise() {
+	staged, inForce := len(s.Domains) > 0, len(s.Domains) > 0
+	for _, domain := range s.Domains {
+		if slices.Contains(s.Without, domain.Domain) {
+			continue
+		}
+		staged = staged && domain.Staged == StagedYes
+		inForce = inForce && domain.Runs >= s.Version
+	}
+	switch {
+	case s.State == objects.NoteSubmitted && staged:
+		s.State = objects.NoteStaged
+	case s.State == objects.NoteAccepted && inForce:
+		s.State = objects.NoteInForce
+	}
+}
+
+// Answers of a domain about a pending note.
+const (
+	StagedYes     = "yes"
+	StagedNo      = "no"
+	StagedAwaited = "awaited"
+)
+
+func domainStatus(domain state.DomainID, note NoteStatus, staged []objects.Staged, inForce []objects.InForce) DomainStatus {
+	status := DomainStatus{Domain: domain, Staged: StagedAwaited}
+	for _, answer := range staged {
+		if answer.Domain == domain {
+			status.Staged = stagedWord(answer.OK)
+			status.Reason = answer.Reason
+		}
+	}
+	for _, report := range inForce {
+		if report.Domain == domain {
+			status.Runs = report.Version
+			status.Since = report.Since
+			status.Behind = report.Behind
+		}
+	}
+	status.Awaited = awaited(status, note)
+	return status
+}
+
+func stagedWord(ok bool) string {
+	if ok {
+		return StagedYes
+	}
+	return StagedNo
+}
+
+// awaited says what a domain still owes the note.
+func awaited(domain DomainStatus, note NoteStatus) string {
+	switch {
+	case domain.Runs >= note.Version && note.State != objects.NoteSubmitted:
+		return ""
+	case note.State == objects.NoteAccepted && slices.Contains(note.Without, domain.Domain):
+		return "the note went ahead without it; it catches up on its return"
+	case note.State == objects.NoteAccepted:
+		return "its hosts have yet to report the release in force"
+	case domain.Staged == StagedYes:
+		return "the other domains"
+	case slices.Contains(note.Without, domain.Domain):
+		return "nothing: the note goes ahead without it"
+	default:
+		return "its hosts have yet to check the note"
+	}
+}
+
+func (s *Store) staged(ctx context.Context, id state.NoteID) ([]objects.Staged, error) {
+	list, err := s.list(ctx, objects.PrefixStaged+string(id)+"/")
+	if err != nil {
+		return nil, err
+	}
+	return decodeAll[objects.Staged](list)
+}
+
+func (s *Store) inForce(ctx context.Context) ([]objects.InForce, error) {
+	list, err := s.list(ctx, objects.PrefixInForce)
+	if err != nil {
+		return nil, err
+	}
+	return decodeAll[objects.InForce](list)
+}
+
+// domains returns the domains that take part in a note, sorted: those of the
+// release in force with the note's own changes.
+func (s *Store) domains(ctx context.Context, note objects.Note) ([]state.DomainID, error) {
+	release, err := s.Release(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var domains []state.DomainID
+	if release != nil {
+		domains = slices.Clone(release.Domains)
+	}
+	domains = append(domains, note.Content.AddDomains...)
+	domains = slices.DeleteFunc(domains, func(id state.DomainID) bool {
+		return slices.Contains(note.Content.WithdrawDomains, id)
+	})
+	slices.Sort(domains)
+	return slices.Compact(domains), nil
+}
+
+// History returns the decisions that the head keeps, newest first, after the
+// pending note if there is one.
+func (s *Store) History(ctx context.Context) ([]objects.Decision, error) {
+	head, _, err := s.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var rows []objects.Decision
+	if head.Pending != nil {
+		rows = append(rows, objects.Decision{Note: head.Pending.Note, State: objects.NoteSubmitted, Without: head.Pending.Without})
+	}
+	return append(rows, head.Decided...), nil
+}
