--- /dev/null
+++ b/internal/transport/udp/socket.go
@@ -0,0 +1,71 @@
+// Package udp sends and receives datagrams in batches.
+package udp
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/samber/oops"
+	"golang.org/x/net/ipv4"
+	"golang.org/x/net/ipv6"
+)
+
+const (
+	// BatchSize is the largest number of datagrams of one system call.
+	BatchSize = 64
+	// socketBuffer is the wished size of the kernel's buffers in bytes; the
+	// kernel may give less.
+	socketBuffer = 8 << 20
+)
+
+// batchConn is what ipv4.PacketConn and ipv6.PacketConn have in common.
+type batchConn interface {
+	ReadBatch(ms []ipv4.Message, flags int) (int, error)
+	WriteBatch(ms []ipv4.Message, flags int) (int, error)
+}
+
+// Socket is an open UDP socket. It is safe for concurrent use; a Reader or a
+// Writer of it is not.
+type Socket struct {
+	conn  *net.UDPConn
+	batch batchConn
+	ip4   bool
+}
+
+// Listen opens a socket at the address.
+func Listen(address netip.AddrPort) (*Socket, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, oops.Code("udp_listen").With("address", address.String()).Wrap(err)
+	}
+	// A smaller buffer than wished for works, too.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return newSocket(conn, address.Addr().Unmap().Is4()), nil
+}
+
+func newSocket(conn *net.UDPConn, ip4 bool) *Socket {
+	if ip4 {
+		return &Socket{conn: conn, batch: ipv4.NewPacketConn(conn), ip4: true}
+	}
+	return &Socket{conn: conn, batch: ipv6.NewPacketConn(conn)}
+}
+
+// Address returns the local address.
+func (s *Socket) Address() netip.AddrPort {
+	return unmapped(s.conn.LocalAddr())
+}
+
+// Close closes the socket; readers return net.ErrClosed.
+func (s *Socket) Close() error {
+	return s.conn.Close()
+}
+
+func unmapped(addr net.Addr) netip.AddrPort {
+	udpAddr, ok := addr.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	ip, _ := netip.AddrFromSlice(udpAddr.IP)
+	return netip.AddrPortFrom(ip.Unmap(), uint16(udpAddr.Port))
+}
--- /dev/null
+++ b/internal/transport/udp/udp_test.go
@@ -0,0 +1,89 @@
+package udp
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const slotSize = 64
+
+type slot []byte
+
+func (s slot) Space() []byte { return s }
+
+func newSlot() slot { return make(slot, slotSize) }
+
+func listen(t *testing.T, address string) *Socket {
+	t.Helper()
+	socket, err := Listen(netip.MustParseAddrPort(address))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+// readAll reads until count datagrams came.
+func readAll(t *testing.T, socket *Socket, count int) []Datagram[slot] {
+	t.Helper()
+	reader := NewReader(socket, newSlot)
+	var got []Datagram[slot]
+	for len(got) < count {
+		require.NoError(t, reader.Read(func(d Datagram[slot]) bool {
+			got = append(got, d)
+			return true
+		}))
+	}
+	return got
+}
+
+func TestDatagramsArriveWithTheirSender(t *testing.T) {
+	for _, address := range []string{"127.0.0.1:0", "[::1]:0"} {
+		t.Run(address, func(t *testing.T) {
+			from, to := listen(t, address), listen(t, address)
+			writer := NewWriter(from)
+			const count = BatchSize + 3
+			for i := range count {
+				writer.Add([]byte{byte(i)}, to.Address())
+			}
+			require.Zero(t, writer.Flush())
+			got := readAll(t, to, count)
+			for i, datagram := range got {
+				require.Equal(t, []byte{byte(i)}, []byte(datagram.Slot[:datagram.Size]))
+				require.Equal(t, from.Address(), datagram.From)
+				require.False(t, datagram.Truncated)
+			}
+		})
+	}
+}
+
+func TestLongDatagramIsMarkedTruncated(t *testing.T) {
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	writer := NewWriter(from)
+	writer.Add(make([]byte, slotSize+1), to.Address())
+	require.Zero(t, writer.Flush())
+	require.True(t, readAll(t, to, 1)[0].Truncated)
+}
+
+func TestFailedSendsAreCountedAndSkipped(t *testing.T) {
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	writer := NewWriter(from)
+	const tooLong = 1 << 16
+	writer.Add([]byte{1}, netip.MustParseAddrPort("[::1]:9"))
+	writer.Add(make([]byte, tooLong), to.Address())
+	writer.Add([]byte{2}, to.Address())
+	require.Equal(t, 2, writer.Flush())
+	require.Zero(t, writer.Flush())
+	require.Equal(t, byte(2), readAll(t, to, 1)[0].Slot[0])
+}
+
+func TestCloseEndsARead(t *testing.T) {
+	socket := listen(t, "127.0.0.1:0")
+	done := make(chan error)
+	go func() {
+		done <- NewReader(socket, newSlot).Read(func(Datagram[slot]) bool { return false })
+	}()
+	require.NoError(t, socket.Close())
+	require.ErrorIs(t, <-done, net.ErrClosed)
+}
