--- a/cmd/guavactl/main.go
+++ b/cmd/guavactl/main.go
@@ -1,3 +1,38 @@
+// Command guavactl is the operators' command line of guavawharf.
 package main
 
-func main() {}
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/ctl"
+	"github.com/guavawharf/guavawharf/internal/transport/platform"
+	"github.com/guavawharf/guavawharf/internal/transport/rpc"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	options, err := ctl.ParseFlags(version, os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "guavactl:", err)
+		os.Exit(ctl.ExitUsage)
+	}
+	os.Exit(run(options))
+}
+
+func run(options ctl.Options) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	settings := platform.Settings{Address: options.PlatformURL, Timeout: options.Timeout}
+	client := platform.NewClient(settings, new(expvar.Map))
+	defer client.Close()
+	command := ctl.NewCommand(options, client, rpc.Call, os.Stdout, os.Stderr, time.Now)
+	return command.Run(ctx)
+}
