Wire the packet path and the daemon around the decision core

Readers decode datagrams and put them into the bounded queue of the flow's shard; at most one worker runs a shard, reads the newest routes once a batch and sends in batches. Packets keep room before them for the relay header, so relaying copies nothing.

--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/rpcapi"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// operator answers operators' reads. The control goroutine runs those that
+// need its state.
+type operator struct{ daemon *Daemon }
+
+var statusNames = map[state.HostStatus]string{
+	state.HostAlive:   "alive",
+	state.HostSuspect: "suspect",
+	state.HostLeaving: "leaving",
+	state.HostDead:    "dead",
+}
+
+// Hosts lists the entry hosts.
+func (o *operator) Hosts(rpcapi.Query) rpcapi.HostsReply {
+	reply := rpcapi.HostsReply{Answering: o.daemon.settings.Host.ID}
+	o.daemon.control.ask(func() {
+		core := o.daemon.control.core
+		now := time.Now()
+		reply.Version = o.daemon.control.snapshot.Version
+		reply.Ready = core.Ready(now)
+		reply.Awaited = core.Awaited(now)
+		for _, member := range core.Members() {
+			reply.Rows = append(reply.Rows, rpcapi.HostRow{
+				Host:        member.Host,
+				Status:      statusNames[member.Status],
+				Incarnation: member.Incarnation,
+				Version:     member.Version,
+			})
+		}
+	})
+	return reply
+}
+
+// Targets lists the targets, sorted by service and target.
+func (o *operator) Targets(query rpcapi.Query) rpcapi.TargetsReply {
+	reply := rpcapi.TargetsReply{Answering: o.daemon.settings.Host.ID}
+	o.daemon.control.ask(func() {
+		snapshot := o.daemon.control.snapshot
+		reply.Version = snapshot.Version
+		for _, service := range selectServices(snapshot, query.Service) {
+			for _, entry := range service.Entries {
+				reply.Rows = append(reply.Rows, targetRow(service.ID, entry))
+			}
+		}
+	})
+	return reply
+}
+
+func targetRow(service state.ServiceID, entry *state.TargetEntry) rpcapi.TargetRow {
+	return rpcapi.TargetRow{
+		Service:    service,
+		Target:     entry.ID,
+		Domain:     entry.Domain,
+		Address:    entry.Address.String(),
+		Leaving:    entry.Leaving,
+		Withdrawn:  entry.Withdrawn,
+		Ejected:    entry.Ejected,
+		ShareMilli: entry.ShareMilli,
+		OpenFlows:  entry.Load.OpenFlows.Load(),
+		Openings:   entry.Load.Openings.Load(),
+	}
+}
+
+var wayNames = map[state.Way]string{
+	state.WayOwner:     "owner",
+	state.WayContested: "contested",
+	state.WayHash:      "hash",
+}
+
+// Flows counts the flows by service.
+func (o *operator) Flows(query rpcapi.Query) rpcapi.FlowsReply {
+	reply := rpcapi.FlowsReply{Answering: o.daemon.settings.Host.ID}
+	o.daemon.control.ask(func() {
+		snapshot := o.daemon.control.snapshot
+		for _, service := range selectServices(snapshot, query.Service) {
+			reply.Rows = append(reply.Rows, o.flowRow(service))
+		}
+	})
+	return reply
+}
+
+func (o *operator) flowRow(service *state.ServiceEntry) rpcapi.FlowRow {
+	row := rpcapi.FlowRow{
+		Service:  service.ID,
+		Customer: service.Customer,
+		Way:      wayNames[service.Way],
+		Refused:  o.daemon.pool.Refused(service.Number),
+	}
+	for _, entry := range service.Entries {
+		row.Open += entry.Load.OpenFlows.Load()
+		row.Opened += entry.Load.Openings.Load()
+	}
+	return row
+}
+
+// Counters lists every counter, sorted by name.
+func (o *operator) Counters(rpcapi.Query) rpcapi.CountersReply {
+	reply := rpcapi.CountersReply{Answering: o.daemon.settings.Host.ID, At: time.Now()}
+	values := o.daemon.counterValues()
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		reply.Rows = append(reply.Rows, rpcapi.Counter{Name: name, Value: values[name]})
+	}
+	return reply
+}
+
+// selectServices returns one service or all of them, sorted by id.
+func selectServices(snapshot *state.Snapshot, id state.ServiceID) []*state.ServiceEntry {
+	var services []*state.ServiceEntry
+	for _, service := range snapshot.Services {
+		if id == "" || service.ID == id {
+			services = append(services, service)
+		}
+	}
+	slices.SortFunc(services, func(a, b *state.ServiceEntry) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	return services
+}
--- /dev/null
+++ b/internal/transport/workers/counts.go
@@ -0,0 +1,153 @@
+package workers
+
+import (
+	"sync/atomic"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/protocol/packet"
+	"github.com/guavawharf/guavawharf/internal/protocol/relaywire"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Event is something that the packet path counts besides traffic's reasons.
+type Event uint8
+
+// Events.
+const (
+	// EventReceived counts datagrams from the fabric.
+	EventReceived Event = iota
+	// EventRelayReceived counts datagrams from other entry hosts.
+	EventRelayReceived
+	// EventForwarded counts packets sent to targets.
+	EventForwarded
+	// EventForwardedBytes counts the bytes of those packets.
+	EventForwardedBytes
+	// EventRelayed counts packets sent to other entry hosts.
+	EventRelayed
+	// EventRefused counts refusals sent to callers.
+	EventRefused
+	// EventReset counts resets sent to callers.
+	EventReset
+	// EventDropped counts packets that traffic dropped.
+	EventDropped
+	// EventNotices counts record messages sent to other entry hosts.
+	EventNotices
+	// EventQueueFull counts packets dropped for a full queue.
+	EventQueueFull
+	// EventNotMember counts relayed datagrams dropped because their sender is
+	// not a member.
+	EventNotMember
+	// EventUnknownHost counts datagrams to a host that left the view.
+	EventUnknownHost
+	// EventTooLong counts datagrams longer than MaxPacketSize.
+	EventTooLong
+	// EventSendFailed counts datagrams that the kernel did not take.
+	EventSendFailed
+	// EventUnanswerable counts refusals and resets that could not be built.
+	EventUnanswerable
+
+	eventCount
+)
+
+var eventNames = [eventCount]string{
+	EventReceived:       "received",
+	EventRelayReceived:  "relay_received",
+	EventForwarded:      "forwarded",
+	EventForwardedBytes: "forwarded_bytes",
+	EventRelayed:        "relayed",
+	EventRefused:        "refused",
+	EventReset:          "reset",
+	EventDropped:        "dropped",
+	EventNotices:        "record_messages_sent",
+	EventQueueFull:      "queue_full",
+	EventNotMember:      "relay_not_a_member",
+	EventUnknownHost:    "relay_unknown_host",
+	EventTooLong:        "packet_too_long",
+	EventSendFailed:     "send_failed",
+	EventUnanswerable:   "answer_not_built",
+}
+
+// maxErrors bounds the errors of one decoding package.
+const maxErrors = 16
+
+// counts are the counters of one reader or worker.
+type counts struct {
+	events  [eventCount]atomic.Int64
+	reasons [256]atomic.Int64
+	packets [maxErrors]atomic.Int64
+	relays  [maxErrors]atomic.Int64
+}
+
+func (c *counts) event(event Event) { c.events[event].Add(1) }
+
+func (c *counts) reason(reason traffic.Reason) { c.reasons[reason].Add(1) }
+
+// failure counts an error of a decoding package.
+func (c *counts) failure(err error) {
+	switch e := err.(type) {
+	case packet.Error:
+		c.packets[e].Add(1)
+	case relaywire.Error:
+		c.relays[e].Add(1)
+	}
+}
+
+// Counter is one named counter.
+type Counter struct {
+	Name  string
+	Value int64
+}
+
+// Counters returns all counters of the packet path: its own events, one for
+// each reason of traffic and one for each decoding error.
+func (p *Pool) Counters() []Counter {
+	var counters []Counter
+	for event := range eventCount {
+		value := p.sum(func(c *counts) int64 { return c.events[event].Load() })
+		counters = append(counters, Counter{eventNames[event], value})
+	}
+	for _, reason := range traffic.AllReasons() {
+		value := p.sum(func(c *counts) int64 { return c.reasons[reason].Load() })
+		counters = append(counters, Counter{"reason_" + reason.String(), value})
+	}
+	for _, err := range packet.Errors() {
+		value := p.sum(func(c *counts) int64 { return c.packets[err].Load() })
+		counters = append(counters, Counter{err.Error(), value})
+	}
+	for _, err := range relaywire.Errors() {
+		value := p.sum(func(c *counts) int64 { return c.relays[err].Load() })
+		counters = append(counters, Counter{err.Error(), value})
+	}
+	return counters
+}
+
+func (p *Pool) sum(value func(*counts) int64) int64 {
+	var total int64
+	for _, c := range p.counts {
+		total += value(c)
+	}
+	return total
+}
+
+// Refused returns how many openings of a service were refused.
+func (p *Pool) Refused(service state.ServiceNumber) int64 {
+	count, ok := p.refused.Load(service)
+	if !ok {
+		return 0
+	}
+	return count.(*atomic.Int64).Load()
+}
+
+// countRefused counts a refused opening of the service at the address.
+func (p *Pool) countRefused(snapshot *state.Snapshot, key state.FlowKey) {
+	address := state.ServiceAddress{Protocol: key.Protocol, Address: key.Service}
+	service := snapshot.Services[address]
+	if service == nil {
+		return
+	}
+	count, ok := p.refused.Load(service.Number)
+	if !ok {
+		count, _ = p.refused.LoadOrStore(service.Number, new(atomic.Int64))
+	}
+	count.(*atomic.Int64).Add(1)
+}
--- /dev/null
+++ b/internal/transport/workers/job.go
@@ -0,0 +1,51 @@
+// Package workers runs the packet path: it reads datagrams, assigns each to the
+// shard of its flow, and lets one worker at a time decide and send for a shard.
+// Workers read the newest snapshot and never wait for control.
+package workers
+
+import (
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// MaxPacketSize is the longest accepted IP packet in bytes.
+const MaxPacketSize = 2048
+
+// Job is one received datagram. Its memory has room for a relay header before
+// the packet, so that a packet is relayed without a copy.
+type Job struct {
+	// Packet is set for callers' packets.
+	Packet traffic.Packet
+	// Record tells that the datagram is a record message, whose header is
+	// Packet.Relay, from the host From.
+	Record bool
+	From   state.HostID
+	// Customer is the index of the packet's customer in the snapshot.
+	Customer int
+
+	data [relay.HeaderSize + MaxPacketSize]byte
+	size int
+}
+
+// packet returns the IP packet.
+func (j *Job) packet() []byte {
+	return j.data[relay.HeaderSize : relay.HeaderSize+j.size]
+}
+
+// withHeader returns the relay header's place and the packet.
+func (j *Job) withHeader() []byte {
+	return j.data[:relay.HeaderSize+j.size]
+}
+
+// fabricSlot is a job that a datagram from the fabric is read into.
+type fabricSlot struct{ job *Job }
+
+// Space leaves room for a relay header.
+func (s fabricSlot) Space() []byte { return s.job.data[relay.HeaderSize:] }
+
+// relaySlot is a job that a datagram from another entry host is read into.
+type relaySlot struct{ job *Job }
+
+// Space begins with the relay header.
+func (s relaySlot) Space() []byte { return s.job.data[:] }
--- /dev/null
+++ b/internal/transport/workers/pool.go
@@ -0,0 +1,201 @@
+package workers
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/samber/oops"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/transport/udp"
+)
+
+// Limits.
+const (
+	// BatchSize is the largest number of jobs that a worker takes at once.
+	BatchSize = udp.BatchSize
+	// DefaultQueueLength is the number of packets that wait for one shard.
+	DefaultQueueLength = 4096
+	// SweepInterval is the time between two sweeps of a shard's records.
+	SweepInterval = 10 * time.Millisecond
+	// SweepBudget is the number of records that one sweep visits.
+	SweepBudget = 512
+	// PassOnBudget is the number of records passed on with each sweep. It keeps
+	// the burst of record messages within a receiver's socket buffer.
+	PassOnBudget = 128
+)
+
+// Engine decides for one shard; *traffic.Engine is one.
+type Engine interface {
+	Handle(now time.Time, snap *state.Snapshot, p *traffic.Packet) traffic.Decision
+	HandleRecord(now time.Time, snap *state.Snapshot, from state.HostID, h relay.Header) []traffic.Notice
+	Sweep(now time.Time, snap *state.Snapshot, budget int) []traffic.Notice
+	PassOn(now time.Time, snap *state.Snapshot, budget int) (notices []traffic.Notice, done bool)
+	Len() int
+}
+
+// Settings are what a Pool is built from.
+type Settings struct {
+	// Fabric receives callers' packets and sends to targets and callers.
+	Fabric *udp.Socket
+	// Relay receives from and sends to other entry hosts.
+	Relay *udp.Socket
+	// Return is where packets to callers are sent.
+	Return netip.AddrPort
+	// Engines has one engine for each shard.
+	Engines []Engine
+	// QueueLength bounds the queue of one shard; 0 means DefaultQueueLength.
+	QueueLength int
+	// PassedOn is called once when all records were passed on.
+	PassedOn func()
+	// Now reads the clock.
+	Now func() time.Time
+}
+
+// Pool is the packet path.
+type Pool struct {
+	settings Settings
+	routes   atomic.Pointer[Routes]
+	shards   []*shard
+	counts   []*counts
+	fabric   *fabricReader
+	relay    *relayReader
+	workers  *ants.Pool
+	jobs     sync.Pool
+	passing  atomic.Int64
+	// refused holds an *atomic.Int64 for each service number.
+	refused sync.Map
+	running sync.WaitGroup
+	stop    chan struct{}
+}
+
+// New returns a pool that does not run yet. It drops packets until the first
+// Publish.
+func New(settings Settings) (*Pool, error) {
+	if settings.QueueLength == 0 {
+		settings.QueueLength = DefaultQueueLength
+	}
+	if settings.Now == nil {
+		settings.Now = time.Now
+	}
+	// A worker that is just ending still counts as running.
+	size := 2 * len(settings.Engines)
+	workers, err := ants.NewPool(size, ants.WithPanicHandler(func(v any) { panic(v) }))
+	if err != nil {
+		return nil, oops.Code("worker_pool").Wrap(err)
+	}
+	p := &Pool{settings: settings, workers: workers, stop: make(chan struct{})}
+	p.jobs.New = func() any { return new(Job) }
+	p.routes.Store(NewRoutes(&state.Snapshot{}))
+	for _, engine := range settings.Engines {
+		p.shards = append(p.shards, newShard(p, engine))
+	}
+	p.fabric = newFabricReader(p)
+	p.relay = newRelayReader(p)
+	return p, nil
+}
+
+// newCounts returns counters that are part of Counters.
+func (p *Pool) newCounts() *counts {
+	c := new(counts)
+	p.counts = append(p.counts, c)
+	return c
+}
+
+// Start starts the readers and the sweeps.
+func (p *Pool) Start() {
+	p.running.Go(p.fabric.run)
+	p.running.Go(p.relay.run)
+	p.running.Go(p.sweep)
+}
+
+// Publish makes a snapshot the one that workers use from now on.
+func (p *Pool) Publish(snapshot *state.Snapshot) {
+	p.routes.Store(NewRoutes(snapshot))
+}
+
+// PassOn starts to pass on all records; Settings.PassedOn follows.
+func (p *Pool) PassOn() {
+	if !p.passing.CompareAndSwap(0, int64(len(p.shards))) {
+		return
+	}
+	for _, s := range p.shards {
+		s.passOn.Store(true)
+	}
+}
+
+// shardPassedOn reports the end once the last shard is done.
+func (p *Pool) shardPassedOn() {
+	if p.passing.Add(-1) == 0 && p.settings.PassedOn != nil {
+		p.settings.PassedOn()
+	}
+}
+
+// Flows returns the number of flow records held.
+func (p *Pool) Flows() int {
+	total := 0
+	for _, s := range p.shards {
+		total += int(s.flows.Load())
+	}
+	return total
+}
+
+// Close closes the sockets and waits for readers and workers.
+func (p *Pool) Close() {
+	close(p.stop)
+	_ = p.settings.Fabric.Close()
+	_ = p.settings.Relay.Close()
+	p.running.Wait()
+	p.workers.Release()
+}
+
+func (p *Pool) sweep() {
+	ticker := time.NewTicker(SweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-ticker.C:
+		}
+		for _, s := range p.shards {
+			if s.queue.wake() {
+				p.start(s)
+			}
+		}
+	}
+}
+
+// submit hands jobs to a shard; the ones that don't fit are dropped.
+func (p *Pool) submit(s *shard, jobs []*Job, c *counts) {
+	rejected, start := s.queue.put(jobs)
+	for _, job := range jobs[len(jobs)-rejected:] {
+		c.event(EventQueueFull)
+		p.recycle(job)
+	}
+	if start {
+		p.start(s)
+	}
+}
+
+// start lets a worker run the shard. Submit fails only once the pool is closed.
+func (p *Pool) start(s *shard) {
+	_ = p.workers.Submit(s.work)
+}
+
+func (p *Pool) shardOf(fingerprint state.Fingerprint) int {
+	return int(fingerprint.High % uint64(len(p.shards)))
+}
+
+func (p *Pool) newJob() *Job {
+	return p.jobs.Get().(*Job)
+}
+
+func (p *Pool) recycle(job *Job) {
+	p.jobs.Put(job)
+}
--- /dev/null
+++ b/internal/transport/workers/reader.go
@@ -0,0 +1,145 @@
+package workers
+
+import (
+	"errors"
+	"net"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/packet"
+	"github.com/guavawharf/guavawharf/internal/protocol/relaywire"
+	"github.com/guavawharf/guavawharf/internal/transport/udp"
+)
+
+// sorter collects the jobs of one batch by shard.
+type sorter struct {
+	pool    *Pool
+	counts  *counts
+	decoder *packet.Decoder
+	pending [][]*Job
+}
+
+func newSorter(p *Pool) *sorter {
+	return &sorter{
+		pool:    p,
+		counts:  p.newCounts(),
+		decoder: packet.NewDecoder(),
+		pending: make([][]*Job, len(p.shards)),
+	}
+}
+
+func (s *sorter) add(job *Job) {
+	shard := s.pool.shardOf(job.Packet.Fingerprint)
+	s.pending[shard] = append(s.pending[shard], job)
+}
+
+// flush hands the collected jobs to their shards.
+func (s *sorter) flush() {
+	for i, jobs := range s.pending {
+		if len(jobs) == 0 {
+			continue
+		}
+		s.pool.submit(s.pool.shards[i], jobs, s.counts)
+		s.pending[i] = jobs[:0]
+	}
+}
+
+// fabricReader reads callers' packets.
+type fabricReader struct {
+	sorter *sorter
+	reader *udp.Reader[fabricSlot]
+}
+
+func newFabricReader(p *Pool) *fabricReader {
+	next := func() fabricSlot { return fabricSlot{p.newJob()} }
+	return &fabricReader{sorter: newSorter(p), reader: udp.NewReader(p.settings.Fabric, next)}
+}
+
+func (r *fabricReader) run() {
+	for {
+		err := r.reader.Read(r.handle)
+		r.sorter.flush()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+	}
+}
+
+func (r *fabricReader) handle(d udp.Datagram[fabricSlot]) bool {
+	c := r.sorter.counts
+	c.event(EventReceived)
+	if d.Truncated {
+		c.event(EventTooLong)
+		return false
+	}
+	job := d.Slot.job
+	job.Record = false
+	job.size = d.Size
+	if err := r.sorter.decoder.Decode(job.packet(), &job.Packet); err != nil {
+		c.failure(err)
+		return false
+	}
+	r.sorter.add(job)
+	return true
+}
+
+// relayReader reads what other entry hosts send.
+type relayReader struct {
+	sorter *sorter
+	reader *udp.Reader[relaySlot]
+}
+
+func newRelayReader(p *Pool) *relayReader {
+	next := func() relaySlot { return relaySlot{p.newJob()} }
+	return &relayReader{sorter: newSorter(p), reader: udp.NewReader(p.settings.Relay, next)}
+}
+
+func (r *relayReader) run() {
+	for {
+		err := r.reader.Read(r.handle)
+		r.sorter.flush()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+	}
+}
+
+func (r *relayReader) handle(d udp.Datagram[relaySlot]) bool {
+	c := r.sorter.counts
+	c.event(EventRelayReceived)
+	if d.Truncated {
+		c.event(EventTooLong)
+		return false
+	}
+	from, member := r.sorter.pool.routes.Load().members[d.From]
+	if !member {
+		c.event(EventNotMember)
+		return false
+	}
+	job := d.Slot.job
+	job.From = from
+	if err := r.decode(job, d.Size); err != nil {
+		c.failure(err)
+		return false
+	}
+	r.sorter.add(job)
+	return true
+}
+
+func (r *relayReader) decode(job *Job, size int) error {
+	header, inner, err := relaywire.Decode(job.data[:size])
+	if err != nil {
+		return err
+	}
+	job.Record = !relaywire.CarriesPacket(header.Kind)
+	job.size = len(inner)
+	if job.Record {
+		job.Packet.Fingerprint = header.Fingerprint
+		job.Packet.Relay = header
+		return nil
+	}
+	if err := r.sorter.decoder.Decode(inner, &job.Packet); err != nil {
+		return err
+	}
+	job.Packet.Relayed = true
+	job.Packet.Relay = header
+	return nil
+}
--- /dev/null
+++ b/internal/transport/workers/shard.go
@@ -0,0 +1,103 @@
+package workers
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+)
+
+// shard is one share of the flows. One worker at a time runs it.
+type shard struct {
+	pool   *Pool
+	queue  *queue
+	engine Engine
+	output *output
+	batch  []*Job
+	// work is run bound once, so that starting a worker does not allocate.
+	work func()
+
+	// passOn is set while records are to be passed on.
+	passOn atomic.Bool
+	// flows is the engine's number of records, for other goroutines.
+	flows atomic.Int64
+}
+
+func newShard(p *Pool, engine Engine) *shard {
+	s := &shard{
+		pool:   p,
+		queue:  newQueue(p.settings.QueueLength),
+		engine: engine,
+		output: newOutput(p),
+		batch:  make([]*Job, 0, BatchSize),
+	}
+	s.work = s.run
+	return s
+}
+
+// run works until nothing is left to do.
+func (s *shard) run() {
+	for {
+		jobs, sweep := s.queue.take(s.batch)
+		if len(jobs) == 0 && !sweep {
+			return
+		}
+		now := s.pool.settings.Now()
+		s.output.routes = s.pool.routes.Load()
+		for _, job := range jobs {
+			s.handle(now, job)
+		}
+		if sweep {
+			s.sweep(now)
+		}
+		s.output.flush()
+		for _, job := range jobs {
+			s.pool.recycle(job)
+		}
+		s.flows.Store(int64(s.engine.Len()))
+	}
+}
+
+func (s *shard) handle(now time.Time, job *Job) {
+	snapshot := s.output.routes.Snapshot
+	if job.Record {
+		notices := s.engine.HandleRecord(now, snapshot, job.From, job.Packet.Relay)
+		s.output.notices(notices)
+		return
+	}
+	decision := s.engine.Handle(now, snapshot, &job.Packet)
+	s.output.counts.reason(decision.Reason)
+	s.output.notices(decision.Notices[:decision.NoticeCount])
+	s.act(job, &decision)
+}
+
+func (s *shard) act(job *Job, decision *traffic.Decision) {
+	switch decision.Verb {
+	case traffic.VerbForward:
+		s.output.forward(job, decision.Target.Address)
+	case traffic.VerbRelay:
+		s.output.relay(job, decision.To, decision.Header)
+	case traffic.VerbRefuse:
+		s.pool.countRefused(s.output.routes.Snapshot, job.Packet.Key)
+		s.output.refuse(job, decision.RetryAfter)
+	case traffic.VerbReset:
+		s.output.reset(job)
+	default:
+		s.output.counts.event(EventDropped)
+	}
+}
+
+// sweep visits some records and passes some on if that is asked for.
+func (s *shard) sweep(now time.Time) {
+	snapshot := s.output.routes.Snapshot
+	s.output.notices(s.engine.Sweep(now, snapshot, SweepBudget))
+	if !s.passOn.Load() {
+		return
+	}
+	notices, done := s.engine.PassOn(now, snapshot, PassOnBudget)
+	s.output.notices(notices)
+	if done {
+		s.passOn.Store(false)
+		s.pool.shardPassedOn()
+	}
+}
