Compose the control core of an entry host

Cause: the daemon needs one pure machine that turns events into actions. Package listing passes the lists from a domain's watchers to its hosts. A host asks only peers that hold a pending note's content, and hands status writes to another domain as soon as its own calls fail; before, a domain without the platform never got the note's content. Tests: cores joined by a fake link and a fake platform in virtual time. The entries carry no lookup tables yet; package lookup takes that over.

--- /dev/null
+++ b/internal/coordination/control/control_test.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/release"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/stretchr/testify/require"
+)
+
+// firstNote makes release 1: a service with a target in each domain.
+func firstNote(domains int) state.Note {
+	note := state.Note{
+		ID: "first", Deadline: 10 * time.Second,
+		SetCustomers: []state.Customer{{ID: "studio", Weight: 1}},
+		AddServices: []state.ServiceSpec{{
+			ID: "feed", Customer: "studio", Protocol: state.TCP,
+			Address: netip.MustParseAddrPort("198.51.100.1:443"), IdleTimeout: time.Minute,
+		}},
+	}
+	for index := range domains {
+		domain := testHost(index, 0).Domain
+		note.AddDomains = append(note.AddDomains, domain)
+		note.AddTargets = append(note.AddTargets, targetSpec(fmt.Sprintf("feed-%d", index+1), domain, index))
+	}
+	return note
+}
+
+func targetSpec(id string, domain state.DomainID, number int) state.TargetSpec {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(number + 1)}), 6080)
+	return state.TargetSpec{
+		ID: state.TargetID(id), Service: "feed", Domain: domain, Address: address,
+		Weight: 1, Slots: 3, Connections: 2000,
+	}
+}
+
+// nextNote adds a target on top of a release.
+func nextNote(id string, base state.ReleaseVersion) state.Note {
+	spec := targetSpec("added-by-"+id, testHost(0, 0).Domain, 50+int(base))
+	return state.Note{
+		ID: state.NoteID(id), Base: base, Deadline: 10 * time.Second, AddTargets: []state.TargetSpec{spec},
+	}
+}
+
+// settled returns a world that has release 1 in force everywhere.
+func settled(t *testing.T, seed uint64, variant release.Variant, sizes ...int) *world {
+	w := newWorld(seed, variant, sizes...)
+	w.run(5 * time.Second)
+	w.store.submit(firstNote(len(sizes)))
+	require.True(t, w.until(20*time.Second, func() bool { return w.inForce(1) }), "seed %d", seed)
+	w.run(2 * time.Second)
+	require.Empty(t, w.promises.broken, "seed %d", seed)
+	return w
+}
+
+func TestReleaseComesIntoForceEverywhere(t *testing.T) {
+	for name, sizes := range map[string][]int{
+		"one host": {1}, "three domains": {3, 2, 2}, "four domains": {2, 2, 2, 1}, "one large domain": {30},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := settled(t, 1, release.VariantSound, sizes...)
+			w.store.submit(nextNote("second", 1))
+			require.True(t, w.until(5*time.Second, func() bool { return w.inForce(2) }))
+			w.run(5 * time.Second)
+			require.Empty(t, w.promises.broken)
+			require.Equal(t, objects.NoteAccepted, w.promises.decided["second"])
+			for _, n := range w.nodes {
+				var status objects.InForce
+				mustDecode(w.store.objects[objects.PrefixInForce+string(n.host.Domain)].Value, &status)
+				require.Equal(t, state.ReleaseVersion(2), status.Version, n.host.Domain)
+				require.Empty(t, status.Behind, n.host.Domain)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordination/control/link_test.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// link is the fake network between hosts, with its faults.
+type link struct {
+	lost       float64
+	duplicated float64
+	extraDelay time.Duration
+	// cut tells which messages do not pass, by the domains of both ends.
+	cut func(from, to state.DomainID) bool
+	// messages counts all messages sent.
+	messages int
+}
+
+func (l *link) send(w *world, from *node, act Send) {
+	l.messages++
+	copies := 1
+	if w.rng.Float64() < l.duplicated {
+		copies = 2
+	}
+	for range copies {
+		if w.rng.Float64() < l.lost {
+			continue
+		}
+		event := MessageReceived{From: from.host, Message: act.Message}
+		sender, source := from.host.Domain, act.To.Domain
+		w.after(l.delay(w, sender, source), func() {
+			to := w.find(act.To.ID)
+			if to == nil || (l.cut != nil && l.cut(sender, source)) {
+				return
+			}
+			w.deliver(to, to.run, event)
+		})
+	}
+}
+
+func (l *link) delay(w *world, from, to state.DomainID) time.Duration {
+	delay := 500 * time.Microsecond
+	if from != to {
+		delay = 3 * time.Millisecond
+	}
+	delay += time.Duration(w.rng.Int64N(int64(delay)))
+	if l.extraDelay > 0 {
+		delay += time.Duration(w.rng.Int64N(int64(l.extraDelay)))
+	}
+	return delay
+}
+
+// cutOff separates domains from all others, in both directions.
+func cutOff(domains ...state.DomainID) func(from, to state.DomainID) bool {
+	return func(from, to state.DomainID) bool {
+		return from != to && (slices.Contains(domains, from) || slices.Contains(domains, to))
+	}
+}
--- /dev/null
+++ b/internal/coordination/control/operator.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/membership"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// MemberVersion is a member of the view and what is in force on it.
+type MemberVersion struct {
+	state.Member
+	Version state.ReleaseVersion
+}
+
+// Members returns what this host believes of all entry hosts, sorted by id.
+func (c *Control) Members() []MemberVersion {
+	versions := make(map[state.HostID]state.ReleaseVersion)
+	for _, entry := range c.members.ReleaseVersions() {
+		versions[entry.Host] = entry.Version
+	}
+	view := c.members.View()
+	members := make([]MemberVersion, 0, len(view.Members))
+	for _, member := range view.Members {
+		members = append(members, MemberVersion{Member: member, Version: versions[member.ID]})
+	}
+	return members
+}
+
+// Release returns the release in force on this host, nil for none.
+func (c *Control) Release() *state.Release { return c.release.Current() }
+
+// Ready tells whether this host admits new flows.
+func (c *Control) Ready(now time.Time) bool { return c.ready(now) }
+
+// Awaited says what a host that is not ready waits for; empty for nothing.
+func (c *Control) Awaited(now time.Time) string { return c.release.Awaited(now) }
+
+// Domains returns the newest digest of every failure domain, this one first.
+func (c *Control) Domains() []membership.Digest { return c.members.Digests() }
--- /dev/null
+++ b/internal/coordination/control/publish.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/listing"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// publishInput is what a snapshot is made of besides health.
+type publishInput struct {
+	release *state.Release
+	view    state.View
+	ready   bool
+	leaving bool
+}
+
+// publisher makes the snapshots. Entries of services that have not changed pass
+// from one snapshot to the next.
+type publisher struct {
+	self    state.Host
+	entries map[state.ServiceID]*state.ServiceEntry
+	last    *state.Snapshot
+	dirty   bool
+}
+
+func newPublisher(self state.Host) publisher {
+	return publisher{self: self, entries: make(map[state.ServiceID]*state.ServiceEntry)}
+}
+
+// next returns a new snapshot, or nil when nothing has changed.
+func (p *publisher) next(now time.Time, input publishInput) *state.Snapshot {
+	if !p.changed(input) {
+		return nil
+	}
+	p.dirty = false
+	snapshot := &state.Snapshot{
+		Self:     p.self,
+		View:     input.view,
+		Ready:    input.ready,
+		Leaving:  input.leaving,
+		Services: make(map[state.ServiceAddress]*state.ServiceEntry),
+		Targets:  make(map[state.TargetNumber]*state.TargetEntry),
+	}
+	if input.release != nil {
+		p.carry(input.release)
+		snapshot.Version = input.release.Version
+		snapshot.Customers = input.release.Customers
+	}
+	p.fill(snapshot, input.release)
+	p.last = snapshot
+	return snapshot
+}
+
+func (p *publisher) changed(input publishInput) bool {
+	if p.last == nil || p.dirty {
+		return true
+	}
+	version := state.ReleaseVersion(0)
+	if input.release != nil {
+		version = input.release.Version
+	}
+	return version != p.last.Version || input.view.Epoch != p.last.View.Epoch ||
+		input.ready != p.last.Ready || input.leaving != p.last.Leaving
+}
+
+// carry brings the entries to a release. A withdrawn service stays, without
+// targets of its own, while flows may be open.
+func (p *publisher) carry(release *state.Release) {
+	if p.last != nil && p.last.Version == release.Version {
+		return
+	}
+	present := make(map[state.ServiceID]bool, len(release.Services))
+	for _, service := range release.Services {
+		present[service.ID] = true
+		p.entries[service.ID] = carry(p.entries[service.ID], service, release.Version)
+	}
+	for id, entry := range p.entries {
+		if present[id] {
+			continue
+		}
+		withdrawn := entry.Service
+		withdrawn.Targets = nil
+		next := carry(entry, withdrawn, release.Version)
+		if len(next.Entries) == 0 {
+			delete(p.entries, id)
+			continue
+		}
+		p.entries[id] = next
+	}
+}
+
+// fill indexes the entries by address and target number. A present service
+// takes its address from a withdrawn one.
+func (p *publisher) fill(snapshot *state.Snapshot, release *state.Release) {
+	for _, id := range slices.Sorted(maps.Keys(p.entries)) {
+		entry := p.entries[id]
+		for _, target := range entry.Entries {
+			snapshot.Targets[target.Number] = target
+		}
+		address := state.ServiceAddress{Protocol: entry.Protocol, Address: entry.Address}
+		if _, taken := snapshot.Services[address]; !taken {
+			snapshot.Services[address] = entry
+		}
+	}
+	if release == nil {
+		return
+	}
+	for _, service := range release.Services {
+		address := state.ServiceAddress{Protocol: service.Protocol, Address: service.Address}
+		snapshot.Services[address] = p.entries[service.ID]
+	}
+}
+
+// report takes in what traffic saw of the targets.
+func (p *publisher) report(now time.Time, reported TrafficReported) {}
+
+// setLoads takes in the platform's view of targets.
+func (p *publisher) setLoads(now time.Time, lists *listing.Machine) {}
--- /dev/null
+++ b/internal/coordination/control/store_test.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// store is the fake platform, with its faults.
+type store struct {
+	w        *world
+	revision uint64
+	objects  map[string]objects.Object
+	watches  []*watch
+	calls    map[objects.Verb]int
+
+	down        bool
+	slow        time.Duration
+	answersLost bool
+	// cut holds the domains that cannot reach the platform.
+	cut []state.DomainID
+}
+
+type watch struct {
+	call   objects.Call
+	answer func(objects.Outcome)
+	done   bool
+}
+
+// callTimeout is when a client gives up on a platform that does not answer.
+const callTimeout = time.Second
+
+func newStore(w *world) *store {
+	return &store{w: w, objects: make(map[string]objects.Object), calls: make(map[objects.Verb]int)}
+}
+
+func (s *store) unreachable(n *node) bool { return s.down || slices.Contains(s.cut, n.host.Domain) }
+
+// call runs a host's call after a network delay and answers it once.
+func (s *store) call(n *node, act PlatformCall) {
+	run, answered := n.run, false
+	s.calls[act.Call.Verb]++
+	reply := func(outcome objects.Outcome) {
+		if answered {
+			return
+		}
+		answered = true
+		if s.w.onAnswer != nil {
+			s.w.onAnswer(n, act.Call, outcome)
+		}
+		s.w.deliver(n, run, PlatformAnswered{ID: act.ID, Call: act.Call, Outcome: outcome})
+	}
+	unknown := func() { reply(objects.Outcome{Result: objects.ResultUnknown}) }
+	s.w.after(act.Call.Wait+callTimeout, unknown)
+	s.w.after(2*time.Millisecond+s.slow, func() {
+		if s.w.onCall != nil {
+			s.w.onCall(n, act.Call)
+		}
+		if s.unreachable(n) {
+			return
+		}
+		s.handle(act.Call, func(outcome objects.Outcome) {
+			lost := s.answersLost && act.Call.Verb == objects.VerbPut
+			s.w.after(2*time.Millisecond, func() {
+				if !lost && !s.unreachable(n) {
+					reply(outcome)
+				}
+			})
+		})
+	})
+}
+
+func (s *store) handle(call objects.Call, answer func(objects.Outcome)) {
+	switch call.Verb {
+	case objects.VerbGet:
+		answer(s.get(call.Key))
+	case objects.VerbPut:
+		answer(s.put(call.Key, call.Version, call.Value))
+	case objects.VerbList:
+		answer(objects.Outcome{Page: s.page(call.Key, 0)})
+	case objects.VerbWatch:
+		if page := s.page(call.Key, call.After); len(page.Objects) > 0 {
+			answer(objects.Outcome{Page: page})
+			return
+		}
+		waiting := &watch{call: call, answer: answer}
+		s.watches = append(s.watches, waiting)
+		s.w.after(call.Wait, func() { s.finish(waiting) })
+	}
+}
+
+func (s *store) finish(waiting *watch) {
+	if waiting.done {
+		return
+	}
+	waiting.done = true
+	s.watches = slices.DeleteFunc(s.watches, func(other *watch) bool { return other == waiting })
+	waiting.answer(objects.Outcome{Page: s.page(waiting.call.Key, waiting.call.After)})
+}
+
+func (s *store) get(key string) objects.Outcome {
+	object, ok := s.objects[key]
+	if !ok {
+		return objects.Outcome{Result: objects.ResultAbsent}
+	}
+	return objects.Outcome{Object: object}
+}
+
+func (s *store) put(key string, version uint64, value json.RawMessage) objects.Outcome {
+	current := s.objects[key]
+	if current.Version != version {
+		return objects.Outcome{Result: objects.ResultConflict, Object: current}
+	}
+	s.revision++
+	next := objects.Object{Key: key, Version: version + 1, Revision: s.revision, Value: value}
+	s.objects[key] = next
+	s.w.promises.written(next)
+	for _, waiting := range slices.Clone(s.watches) {
+		if strings.HasPrefix(key, waiting.call.Key) {
+			s.finish(waiting)
+		}
+	}
+	return objects.Outcome{Object: next}
+}
+
+func (s *store) page(prefix string, after uint64) objects.Page {
+	page := objects.Page{Revision: s.revision}
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) && object.Revision > after {
+			page.Objects = append(page.Objects, object)
+		}
+	}
+	slices.SortFunc(page.Objects, func(a, b objects.Object) int { return int(a.Revision) - int(b.Revision) })
+	return page
+}
+
+// head returns the head object as it is stored.
+func (s *store) head() (objects.Head, uint64) {
+	var head objects.Head
+	object, ok := s.objects[objects.KeyHead]
+	if ok {
+		mustDecode(object.Value, &head)
+	}
+	return head, object.Version
+}
+
+// submit does what an operator's client does with a note, without faults of its
+// own.
+func (s *store) submit(note state.Note) {
+	value := mustEncode(objects.Note{ID: note.ID, Content: note, Submitted: s.w.now})
+	s.put(objects.PrefixNotes+string(note.ID), 0, value)
+	head, version := s.head()
+	if next, changed := head.Submit(note, s.w.now); changed {
+		s.put(objects.KeyHead, version, mustEncode(next))
+	}
+}
+
+func mustEncode(value any) json.RawMessage {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func mustDecode(text json.RawMessage, value any) {
+	if err := json.Unmarshal(text, value); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/coordination/control/world_test.go
@@ -0,0 +1,203 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/release"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// epoch is the virtual time at which a world begins.
+var epoch = time.Unix(1_800_000_000, 0)
+
+type scheduled struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type schedule []scheduled
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	if !s[i].at.Equal(s[j].at) {
+		return s[i].at.Before(s[j].at)
+	}
+	return s[i].seq < s[j].seq
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(scheduled)) }
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// node is one entry host of a world.
+type node struct {
+	host     state.Host
+	core     *Control
+	run      uint64
+	alive    bool
+	paused   bool
+	stopped  bool
+	queue    []func()
+	snapshot *state.Snapshot
+	draining map[state.TargetID]time.Time
+}
+
+// world is a handful of cores joined by a fake link and a fake platform in
+// virtual time.
+type world struct {
+	now      time.Time
+	rng      *rand.Rand
+	schedule schedule
+	seq      int
+	variant  release.Variant
+	nodes    []*node
+	link     link
+	store    *store
+	promises promises
+	// onCall and onAnswer see each platform call before it runs and after.
+	onCall   func(n *node, call objects.Call)
+	onAnswer func(n *node, call objects.Call, outcome objects.Outcome)
+}
+
+func newWorld(seed uint64, variant release.Variant, sizes ...int) *world {
+	w := &world{now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), variant: variant}
+	w.store = newStore(w)
+	w.promises = newPromises(w)
+	for domain, size := range sizes {
+		for index := range size {
+			w.nodes = append(w.nodes, &node{host: testHost(domain, index)})
+		}
+	}
+	for _, n := range w.nodes {
+		w.boot(n)
+	}
+	return w
+}
+
+func testHost(domain, index int) state.Host {
+	ip := netip.AddrFrom4([4]byte{127, 1, byte(domain + 1), byte(index + 1)})
+	return state.Host{
+		ID:      state.HostID(fmt.Sprintf("host-%c%d", 'a'+domain, index+1)),
+		Domain:  state.DomainID(fmt.Sprintf("zone-%c", 'a'+domain)),
+		Packets: netip.AddrPortFrom(ip, 6080), Relay: netip.AddrPortFrom(ip, 6081),
+		Control: netip.AddrPortFrom(ip, 6082),
+	}
+}
+
+// boot starts a host with nothing.
+func (w *world) boot(n *node) {
+	var peers []state.Host
+	for _, other := range w.nodes {
+		if other != n {
+			peers = append(peers, other.host)
+		}
+	}
+	n.run++
+	n.alive, n.paused, n.stopped, n.queue, n.snapshot = true, false, false, nil, nil
+	n.draining = make(map[state.TargetID]time.Time)
+	settings := Settings{Self: n.host, Incarnation: n.run, Peers: peers, ReleaseVariant: w.variant}
+	n.core = New(settings, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
+	w.tick(n, n.run, w.now.Add(time.Duration(w.rng.Int64N(int64(TickInterval)))))
+}
+
+func (w *world) tick(n *node, run uint64, at time.Time) {
+	w.at(at, func() {
+		if n.run != run || !n.alive {
+			return
+		}
+		if !n.paused {
+			w.step(n, Tick{})
+		}
+		w.tick(n, run, at.Add(TickInterval))
+	})
+}
+
+func (w *world) at(at time.Time, run func()) {
+	w.seq++
+	heap.Push(&w.schedule, scheduled{at, w.seq, run})
+}
+
+func (w *world) after(d time.Duration, run func()) { w.at(w.now.Add(d), run) }
+
+// run lets virtual time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.schedule) > 0 && !w.schedule[0].at.After(end) {
+		next := heap.Pop(&w.schedule).(scheduled)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+// until lets time pass until the condition holds, and tells whether it did.
+func (w *world) until(limit time.Duration, holds func() bool) bool {
+	for end := w.now.Add(limit); w.now.Before(end); {
+		if holds() {
+			return true
+		}
+		w.run(20 * time.Millisecond)
+	}
+	return holds()
+}
+
+// deliver hands an event to a host, later if it is paused.
+func (w *world) deliver(n *node, run uint64, event Event) {
+	if n.run != run || !n.alive {
+		return
+	}
+	if n.paused {
+		n.queue = append(n.queue, func() { w.deliver(n, run, event) })
+		return
+	}
+	w.step(n, event)
+}
+
+func (w *world) step(n *node, event Event) {
+	for _, action := range n.core.Step(w.now, event) {
+		switch act := action.(type) {
+		case Send:
+			w.link.send(w, n, act)
+		case PlatformCall:
+			w.store.call(n, act)
+		case Publish:
+			n.snapshot = act.Snapshot
+			w.promises.published(n)
+		case PassRecordsOn:
+			run := n.run
+			w.after(300*time.Millisecond, func() { w.deliver(n, run, RecordsPassedOn{}) })
+		case Stop:
+			n.alive, n.stopped = false, true
+		}
+	}
+	w.promises.stepped(n)
+}
+
+func (w *world) kill(n *node) { n.alive = false }
+
+func (w *world) resume(n *node) {
+	n.paused = false
+	queue := n.queue
+	n.queue = nil
+	for _, run := range queue {
+		run()
+	}
+}
+
+func (w *world) find(id state.HostID) *node {
+	for _, n := range w.nodes {
+		if n.host.ID == id {
+			return n
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/listing/machine.go
@@ -0,0 +1,234 @@
+// Package listing reads the platform's own lists, of hosts and of target loads,
+// through the watchers of a failure domain and passes them to its other hosts.
+// The machine is pure: the time and the random source are passed in.
+package listing
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Timings and sizes.
+const (
+	// Prefix precedes the keys of the platform's lists.
+	Prefix = "platform/"
+	// WatchWait is how long a watch waits for a change.
+	WatchWait = 8 * time.Second
+	// WatchInterval is the least time between two watches.
+	WatchInterval = time.Second
+	// LoadsInterval is the time between two passes of loads that tell of no
+	// change in health or draining.
+	LoadsInterval = 5 * time.Second
+	// DigestInterval is the time between two digests to a random peer.
+	DigestInterval = time.Second
+	// Fanout is how many peers hear of a change at once.
+	Fanout = 3
+	// RetryMax bounds the wait after a failed call.
+	RetryMax = 4 * time.Second
+)
+
+// Output is what the machine wants done.
+type Output struct {
+	Sends []message.Outgoing
+	Calls []objects.Call
+}
+
+// Machine holds the newest lists that one host has heard of.
+type Machine struct {
+	self  state.Host
+	rng   *rand.Rand
+	peers []state.Host
+	out   Output
+
+	hosts HostsNews
+	loads LoadsNews
+	// read is the newest load list read from the platform by this host.
+	read       LoadsNews
+	passedAt   time.Time
+	nextDigest time.Time
+
+	calling   bool
+	notBefore time.Time
+	listed    bool
+	revision  uint64
+}
+
+// New returns a machine that holds no list.
+func New(self state.Host, rng *rand.Rand) *Machine {
+	return &Machine{self: self, rng: rng}
+}
+
+// SetView tells the machine its peers: the other hosts of its domain.
+func (m *Machine) SetView(view state.View) {
+	m.peers = nil
+	for _, member := range view.Members {
+		if member.Domain == m.self.Domain && member.ID != m.self.ID {
+			m.peers = append(m.peers, member.Host)
+		}
+	}
+}
+
+// Hosts returns the newest list of hosts and its revision, 0 for none.
+func (m *Machine) Hosts() (objects.HostList, uint64) { return m.hosts.List, m.hosts.Revision }
+
+// Loads returns the newest list of loads and its revision, 0 for none.
+func (m *Machine) Loads() (objects.LoadList, uint64) { return m.loads.List, m.loads.Revision }
+
+// Take returns the gathered output and clears it.
+func (m *Machine) Take() Output {
+	out := m.out
+	m.out = Output{}
+	return out
+}
+
+// Tick lets time pass; watching hosts read the platform.
+func (m *Machine) Tick(now time.Time, watching bool) {
+	if watching {
+		m.watch(now)
+	} else {
+		m.listed = false
+	}
+	m.passLoads(now)
+	if now.Before(m.nextDigest) {
+		return
+	}
+	m.nextDigest = now.Add(DigestInterval)
+	m.spread(m.digest(), 1)
+}
+
+func (m *Machine) digest() Digest {
+	return Digest{HostsRevision: m.hosts.Revision, LoadsRevision: m.loads.Revision}
+}
+
+func (m *Machine) watch(now time.Time) {
+	if m.calling || now.Before(m.notBefore) {
+		return
+	}
+	m.calling = true
+	call := objects.Call{Verb: objects.VerbList, Key: Prefix}
+	if m.listed {
+		call = objects.Call{Verb: objects.VerbWatch, Key: Prefix, After: m.revision, Wait: WatchWait}
+	}
+	m.out.Calls = append(m.out.Calls, call)
+}
+
+// Answered handles the outcome of a call.
+func (m *Machine) Answered(now time.Time, outcome objects.Outcome) {
+	m.calling = false
+	if outcome.Result != objects.ResultOK {
+		m.listed = false
+		wait := time.Duration(m.rng.Int64N(int64(RetryMax)))
+		m.notBefore = now.Add(max(wait, outcome.RetryAfter))
+		return
+	}
+	m.notBefore = now.Add(WatchInterval)
+	m.listed = true
+	m.revision = max(m.revision, outcome.Page.Revision)
+	for _, object := range outcome.Page.Objects {
+		m.takeObject(now, object)
+	}
+}
+
+func (m *Machine) takeObject(now time.Time, object objects.Object) {
+	switch object.Key {
+	case objects.KeyHosts:
+		news := HostsNews{Revision: object.Revision}
+		if json.Unmarshal(object.Value, &news.List) == nil {
+			m.takeHosts(news)
+		}
+	case objects.KeyLoads:
+		news := LoadsNews{Revision: object.Revision}
+		if json.Unmarshal(object.Value, &news.List) == nil && news.Revision > m.read.Revision {
+			m.read = news
+			m.passLoads(now)
+		}
+	}
+}
+
+// passLoads adopts the loads read from the platform: at once when a target's
+// health or drain signal changed, else every LoadsInterval.
+func (m *Machine) passLoads(now time.Time) {
+	if m.read.Revision <= m.loads.Revision {
+		return
+	}
+	if !signalsDiffer(m.read.List, m.loads.List) && now.Sub(m.passedAt) < LoadsInterval {
+		return
+	}
+	m.passedAt = now
+	m.takeLoads(m.read)
+}
+
+// signalsDiffer tells that a target's health or drain signal differs.
+func signalsDiffer(a, b objects.LoadList) bool {
+	type signal struct{ healthy, draining bool }
+	known := make(map[state.TargetID]signal, len(b.Loads))
+	for _, load := range b.Loads {
+		known[load.Target] = signal{load.Healthy, load.Draining}
+	}
+	for _, load := range a.Loads {
+		before, ok := known[load.Target]
+		if !ok || before != (signal{load.Healthy, load.Draining}) {
+			return true
+		}
+	}
+	return len(a.Loads) != len(b.Loads)
+}
+
+func (m *Machine) takeHosts(news HostsNews) {
+	if news.Revision <= m.hosts.Revision {
+		return
+	}
+	m.hosts = news
+	m.spread(news, Fanout)
+}
+
+func (m *Machine) takeLoads(news LoadsNews) {
+	if news.Revision <= m.loads.Revision {
+		return
+	}
+	m.loads = news
+	m.spread(news, Fanout)
+}
+
+// Receive handles a message of this package.
+func (m *Machine) Receive(from state.Host, received message.Message) {
+	switch msg := received.(type) {
+	case HostsNews:
+		m.takeHosts(msg)
+	case LoadsNews:
+		m.takeLoads(msg)
+	case Digest:
+		m.receiveDigest(from, msg)
+	}
+}
+
+// receiveDigest sends what the peer lacks, or asks by this host's own digest.
+func (m *Machine) receiveDigest(from state.Host, digest Digest) {
+	if digest.HostsRevision < m.hosts.Revision {
+		m.send(from, m.hosts)
+	}
+	if digest.LoadsRevision < m.loads.Revision {
+		m.send(from, m.loads)
+	}
+	if digest.HostsRevision > m.hosts.Revision || digest.LoadsRevision > m.loads.Revision {
+		m.send(from, m.digest())
+	}
+}
+
+func (m *Machine) spread(msg message.Message, count int) {
+	if len(m.peers) == 0 {
+		return
+	}
+	for _, index := range m.rng.Perm(len(m.peers))[:min(count, len(m.peers))] {
+		m.send(m.peers[index], msg)
+	}
+}
+
+func (m *Machine) send(to state.Host, msg message.Message) {
+	m.out.Sends = append(m.out.Sends, message.Outgoing{To: to, Message: msg})
+}
--- /dev/null
+++ b/internal/coordination/listing/message.go
@@ -0,0 +1,47 @@
+package listing
+
+import (
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Digest names the newest lists that the sender holds.
+type Digest struct {
+	HostsRevision uint64
+	LoadsRevision uint64
+}
+
+// HostsNews carries the platform's list of hosts.
+type HostsNews struct {
+	Revision uint64
+	List     objects.HostList
+}
+
+// LoadsNews carries the platform's view of targets.
+type LoadsNews struct {
+	Revision uint64
+	List     objects.LoadList
+}
+
+// ControlMessage marks the type as a message.
+func (Digest) ControlMessage() {}
+
+// ControlMessage marks the type as a message.
+func (HostsNews) ControlMessage() {}
+
+// ControlMessage marks the type as a message.
+func (LoadsNews) ControlMessage() {}
+
+// Messages returns the zero values of this package's message types.
+func Messages() []message.Message {
+	return []message.Message{Digest{}, HostsNews{}, LoadsNews{}}
+}
+
+// Handles tells whether the message belongs to this package.
+func Handles(received message.Message) bool {
+	switch received.(type) {
+	case Digest, HostsNews, LoadsNews:
+		return true
+	}
+	return false
+}
--- a/internal/coordination/release/message.go
+++ b/internal/coordination/release/message.go
@@ -13,6 +13,8 @@
 	Head HeadDigest
 	// Running is the release in force on the sender, 0 for none.
 	Running state.ReleaseVersion
+	// HoldsPending tells that the sender holds the pending note's content.
+	HoldsPending bool
 	// PlatformAge is the time since the platform was last heard by anyone whose
 	// news reached the sender; negative for never.
 	PlatformAge time.Duration
--- a/internal/coordination/release/news.go
+++ b/internal/coordination/release/news.go
@@ -75,7 +75,12 @@
 	if m.platform.heardAt.IsZero() {
 		age = -1
 	}
-	return News{Head: m.known, Running: m.Version(), PlatformAge: age}
+	return News{Head: m.known, Running: m.Version(), HoldsPending: m.holdsPending(), PlatformAge: age}
+}
+
+// holdsPending tells that this host holds the pending note's content.
+func (m *Machine) holdsPending() bool {
+	return m.known.Pending != nil && m.notes.find(m.known.Pending.Note.ID) != nil
 }
 
 // push tells a few peers of a change at once: random ones of this domain and,
@@ -127,13 +132,15 @@
 	if news.Running > m.Version() {
 		m.fetch.source = from
 	}
+	if news.HoldsPending {
+		m.fetch.holder = from
+	}
 	m.learn(now, news.Head)
 	if news.Head.ObjectVersion < m.known.ObjectVersion {
 		m.send(from, m.news(now))
 	}
 	m.advance(now)
 	m.stage(now)
-	m.askNote(now, from)
 }
 
 // advance adopts the newest accepted release, or asks for what it lacks.
--- a/internal/coordination/release/notes.go
+++ b/internal/coordination/release/notes.go
@@ -73,10 +73,13 @@
 // fetch tracks how this host gets a release that it did not stage.
 type fetch struct {
 	// since is when it began, zero for not fetching.
-	since  time.Time
-	asked  time.Time
-	noted  time.Time
+	since time.Time
+	asked time.Time
+	noted time.Time
+	// source is a peer that runs a newer release.
 	source state.Host
+	// holder is a peer that holds the content of a pending note.
+	holder state.Host
 }
 
 // fetchRelease asks a peer for newer releases and, as a watcher whose peers do
@@ -127,14 +130,13 @@
 	m.send(peer, Ask{Have: have})
 }
 
-// askNote asks a peer for the pending note's content if it is missing.
-func (m *Machine) askNote(now time.Time, peer state.Host) {
-	pending := m.known.Pending
-	if pending == nil || m.notes.find(pending.Note.ID) != nil || now.Sub(m.fetch.noted) < AskInterval {
+// askNote asks a peer that holds a pending note's content for it.
+func (m *Machine) askNote(now time.Time, id state.NoteID) {
+	if m.fetch.holder.ID == "" || now.Sub(m.fetch.noted) < AskInterval {
 		return
 	}
 	m.fetch.noted = now
-	m.send(peer, Ask{Have: m.Version(), Note: pending.Note.ID})
+	m.send(m.fetch.holder, Ask{Have: m.Version(), Note: id})
 }
 
 // receiveAsk answers with what this host holds; without it, not at all.
@@ -156,9 +158,8 @@
 
 // receiveContent takes in notes and releases that a peer sent.
 func (m *Machine) receiveContent(now time.Time, content Content) {
-	if content.Note != nil {
-		m.keepNote(*content.Note)
-	}
+	changed := content.Note != nil && m.keepNote(*content.Note)
+	before := m.Version()
 	for _, note := range content.Accepted {
 		m.applyAccepted(now, note)
 	}
@@ -167,7 +168,9 @@
 	}
 	m.advance(now)
 	m.stage(now)
-	m.push(now)
+	if changed || m.Version() != before {
+		m.push(now)
+	}
 }
 
 // applyAccepted moves to the release that an accepted note makes.
@@ -184,11 +187,13 @@
 	m.install(now, next)
 }
 
-// keepNote keeps a note that is pending or accepted.
-func (m *Machine) keepNote(note objects.Note) {
-	if m.notes.find(note.ID) == nil {
-		m.notes.loose[note.ID] = note
+// keepNote keeps a note that is pending or accepted, and tells whether it is new.
+func (m *Machine) keepNote(note objects.Note) bool {
+	if m.notes.find(note.ID) != nil {
+		return false
 	}
+	m.notes.loose[note.ID] = note
+	return true
 }
 
 // noteAnswered takes in a note that the platform returned.
--- a/internal/coordination/release/staging.go
+++ b/internal/coordination/release/staging.go
@@ -85,14 +85,12 @@
 	return true
 }
 
-// wantNote asks the platform, as a watcher, or a random peer for a note.
+// wantNote asks the platform, as a watcher, and a peer that holds it for a note.
 func (m *Machine) wantNote(now time.Time, id state.NoteID) {
 	if m.isWatcher(now) {
 		m.getNote(now, id)
 	}
-	for _, peer := range sample(m.rng, m.members.peers(true), 1) {
-		m.askNote(now, peer)
-	}
+	m.askNote(now, id)
 }
 
 // receiveAnswer keeps a peer's answer about the pending note.
--- a/internal/coordination/release/status.go
+++ b/internal/coordination/release/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -19,21 +20,23 @@
 	behindSince time.Time
 	behind      []state.HostID
 	writes      map[string]*write
+	// stored holds the newest known version of each domain's status object.
+	stored map[string]uint64
 }
 
 // write is a status object on its way to the platform.
 type write struct {
 	staged  *objects.Staged
 	inForce *objects.InForce
-	// condition is the object version that the write expects.
-	condition uint64
-	relayed   bool
+	relayed bool
+	since   time.Time
 }
 
 func newStatus() status {
 	return status{
 		versions: make(map[state.HostID]state.ReleaseVersion),
 		writes:   make(map[string]*write),
+		stored:   make(map[string]uint64),
 	}
 }
 
@@ -51,31 +54,45 @@
 
 // writeStaged writes a domain's answer about the pending note.
 func (m *Machine) writeStaged(now time.Time, staged objects.Staged) {
-	m.status.writes[stagedKey(staged.Note.ID, staged.Domain)] = &write{staged: &staged}
+	m.status.writes[stagedKey(staged.Note.ID, staged.Domain)] = &write{staged: &staged, since: now}
 	m.flush(now)
 }
 
 // flush sends the status objects that are not on their way.
 func (m *Machine) flush(now time.Time) {
-	keys := make([]string, 0, len(m.status.writes))
-	for key := range m.status.writes {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	for _, key := range keys {
+	for _, key := range slices.Sorted(maps.Keys(m.status.writes)) {
 		entry := m.status.writes[key]
+		if m.outdated(now, entry) {
+			delete(m.status.writes, key)
+			continue
+		}
+		if m.platform.failures > 0 {
+			m.relay(entry)
+		}
 		m.call(now, objects.Call{
-			Verb: objects.VerbPut, Key: key, Version: entry.condition, Value: entry.value(),
+			Verb: objects.VerbPut, Key: key, Version: m.status.stored[key], Value: entry.value(),
 		})
 	}
 }
 
+// outdated tells that a write is about a note that was decided since, or about
+// one that has not been pending for long.
+func (m *Machine) outdated(now time.Time, entry *write) bool {
+	if entry.staged == nil {
+		return false
+	}
+	return entry.staged.Note.Version <= m.known.Version || now.Sub(entry.since) > StagedLifetime
+}
+
 // statusAnswered finishes a status write or repeats it on the present version.
 func (m *Machine) statusAnswered(now time.Time, call objects.Call, outcome objects.Outcome) {
 	entry := m.status.writes[call.Key]
 	if entry == nil {
 		return
 	}
+	if entry.inForce != nil {
+		m.status.stored[call.Key] = outcome.Object.Version
+	}
 	if outcome.Result != objects.ResultConflict || entry.staged != nil {
 		delete(m.status.writes, call.Key)
 		return
@@ -86,7 +103,6 @@
 		delete(m.status.writes, call.Key)
 		return
 	}
-	entry.condition = outcome.Object.Version
 	m.flush(now)
 }
 
@@ -108,7 +124,14 @@
 		m.drive.listed = false
 	}
 	entry := m.status.writes[call.Key]
-	if entry == nil || call.Verb != objects.VerbPut || entry.relayed {
+	if entry != nil && call.Verb == objects.VerbPut {
+		m.relay(entry)
+	}
+}
+
+// relay hands a status write over once.
+func (m *Machine) relay(entry *write) {
+	if entry.relayed {
 		return
 	}
 	entry.relayed = true
@@ -134,7 +157,7 @@
 	switch {
 	case relay.Staged != nil:
 		staged := *relay.Staged
-		m.status.writes[stagedKey(staged.Note.ID, staged.Domain)] = &write{staged: &staged, relayed: true}
+		m.status.writes[stagedKey(staged.Note.ID, staged.Domain)] = &write{staged: &staged, relayed: true, since: now}
 	case relay.InForce != nil:
 		inForce := *relay.InForce
 		m.status.writes[objects.PrefixInForce+string(inForce.Domain)] = &write{inForce: &inForce, relayed: true}
--- a/internal/coordination/release/timing.go
+++ b/internal/coordination/release/timing.go
@@ -37,6 +37,8 @@
 	PauseAfter = 3 * time.Second
 	// ReturnWindow is how long after a return releases may turn out to be missed.
 	ReturnWindow = time.Second
+	// StagedLifetime is how long a domain's answer is worth writing.
+	StagedLifetime = 30 * time.Second
 	// BehindAfter is how long a host lags before its domain's status names it.
 	BehindAfter = 3 * time.Second
 	// PartSize is the aimed size of a checkpoint part in bytes.
