--- /dev/null
+++ b/cmd/guava-standin/callers.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/guavawharf/guavawharf/internal/standin/callers"
+	"github.com/guavawharf/guavawharf/internal/standin/settings"
+	"github.com/guavawharf/guavawharf/internal/standin/summary"
+	"github.com/guavawharf/guavawharf/internal/standin/upstream"
+)
+
+// callersVerb opens flows and prints what became of them.
+type callersVerb struct {
+	config string
+	output string
+}
+
+func newCallersVerb() *callersVerb {
+	return &callersVerb{config: "callers.toml", output: "table"}
+}
+
+func (v *callersVerb) subcommand() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("callers")
+	sc.Description = "Open flows through the entry hosts; exit 1 if a promise was not kept."
+	sc.AdditionalHelpAppend = "Example: guava-standin callers --config callers.toml --output json"
+	sc.String(&v.config, "c", "config", "settings in TOML")
+	sc.String(&v.output, "o", "output", "table or json")
+	return sc
+}
+
+func (v *callersVerb) run(ctx context.Context, log *slog.Logger) int {
+	s, err := settings.LoadCallers(v.config)
+	if err != nil {
+		log.Error("callers.settings_refused", "error", err)
+		return exitUsage
+	}
+	report, err := callers.Run(ctx, s.Options)
+	if err != nil {
+		log.Error("callers.run_failed", "error", err)
+		return exitFailed
+	}
+	var counts []upstream.Counts
+	if s.Upstreams != "" {
+		counts, err = summary.FetchCounts(s.Upstreams)
+		if err != nil {
+			log.Error("callers.counts_failed", "error", err)
+			return exitFailed
+		}
+	}
+	return v.print(summary.New(report, counts, s.Changed), log)
+}
+
+func (v *callersVerb) print(s summary.Summary, log *slog.Logger) int {
+	if v.output == "json" {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(s); err != nil {
+			log.Error("callers.print_failed", "error", err)
+			return exitFailed
+		}
+	} else {
+		fmt.Print(s.Text())
+	}
+	failures := s.Failures()
+	for _, failure := range failures {
+		fmt.Println("FAILED:", failure)
+	}
+	if len(failures) > 0 {
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/standin/summary/summary.go
@@ -0,0 +1,173 @@
+// Package summary puts together what the stand-in callers and upstreams saw of
+// one run and decides whether the run kept the system's promises.
+package summary
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/standin/callers"
+	"github.com/guavawharf/guavawharf/internal/standin/upstream"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Summary is the outcome of one run.
+type Summary struct {
+	Callers callers.Report `json:"callers"`
+	// Targets is empty when the upstreams were not asked.
+	Targets []upstream.Counts `json:"targets"`
+	// Imbalances has one entry a service.
+	Imbalances []Imbalance `json:"imbalances"`
+}
+
+// Imbalance compares the flows opened at the targets of one service.
+type Imbalance struct {
+	Service string  `json:"service"`
+	Targets int     `json:"targets"`
+	Max     int64   `json:"max"`
+	Mean    float64 `json:"mean"`
+}
+
+// Ratio is the largest count over the mean count.
+func (i Imbalance) Ratio() float64 {
+	if i.Mean == 0 {
+		return 0
+	}
+	return float64(i.Max) / i.Mean
+}
+
+const fetchTimeout = 5 * time.Second
+
+// FetchCounts reads the counts of upstreams from their control URL.
+func FetchCounts(url string) ([]upstream.Counts, error) {
+	client := &http.Client{Timeout: fetchTimeout}
+	response, err := client.Get(url + upstream.PathCounts)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var counts []upstream.Counts
+	return counts, json.NewDecoder(response.Body).Decode(&counts)
+}
+
+// New returns the summary. Changed targets do not count for the imbalance.
+func New(report callers.Report, counts []upstream.Counts, changed []state.TargetID) Summary {
+	return Summary{
+		Callers:    report,
+		Targets:    counts,
+		Imbalances: imbalances(counts, changed),
+	}
+}
+
+func imbalances(counts []upstream.Counts, changed []state.TargetID) []Imbalance {
+	skipped := make(map[state.TargetID]bool, len(changed))
+	for _, id := range changed {
+		skipped[id] = true
+	}
+	var found []Imbalance
+	index := make(map[string]int)
+	for _, c := range counts {
+		if skipped[c.Target] {
+			continue
+		}
+		service := c.Service.String()
+		i, known := index[service]
+		if !known {
+			i = len(found)
+			index[service] = i
+			found = append(found, Imbalance{Service: service})
+		}
+		found[i].Targets++
+		found[i].Max = max(found[i].Max, c.Opened)
+		found[i].Mean += (float64(c.Opened) - found[i].Mean) / float64(found[i].Targets)
+	}
+	return found
+}
+
+// Failures lists the promises that the run did not keep.
+func (s Summary) Failures() []string {
+	total := s.Callers.Total()
+	targets := s.totalTargets()
+	checks := []struct {
+		count int64
+		what  string
+	}{
+		{int64(total.Broken), "flows broken"},
+		{targets.WrongService, "packets at a wrong service"},
+		{targets.RunTwice, "requests run twice"},
+		{targets.NeverOpened, "payloads at a target that did not open their flow"},
+		{targets.AfterDrain, "flows opened at a target long after its drain began"},
+	}
+	var failures []string
+	for _, c := range checks {
+		if c.count != 0 {
+			failures = append(failures, fmt.Sprintf("%d %s", c.count, c.what))
+		}
+	}
+	if total.Answered == 0 {
+		failures = append(failures, "no flow was answered")
+	}
+	return failures
+}
+
+func (s Summary) totalTargets() upstream.Counts {
+	var total upstream.Counts
+	for _, c := range s.Targets {
+		total.Opened += c.Opened
+		total.Run += c.Run
+		total.RunTwice += c.RunTwice
+		total.Shed += c.Shed
+		total.WrongService += c.WrongService
+		total.NeverOpened += c.NeverOpened
+		total.OverLimit += c.OverLimit
+		total.AfterDrain += c.AfterDrain
+		total.Reset += c.Reset
+		total.TimedOut += c.TimedOut
+		total.Malformed += c.Malformed
+	}
+	return total
+}
+
+// Text returns the summary for people to read.
+func (s Summary) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-12s %8s %8s %8s %8s %9s %8s %10s %10s\n",
+		"flows", "opened", "answered", "refused", "broken", "requests", "refusals", "p50 ms", "p99 ms")
+	for _, g := range s.Callers.Groups {
+		writeGroup(&b, g)
+	}
+	total := s.Callers.Total()
+	fmt.Fprintf(&b, "%-12s %8d %8d %8d %8d %9d %8d\n",
+		"total", total.Flows, total.Answered, total.Refused, total.Broken, total.Requests, total.Refusals)
+	s.writeTargets(&b)
+	fmt.Fprintf(&b, "packets      %d sent, %d lost, %d answers, %d stray; %d retransmissions; seed %d; %.1f s\n",
+		s.Callers.Sent, s.Callers.Lost, s.Callers.Received, s.Callers.Stray, total.Retransmits,
+		s.Callers.Seed, s.Callers.Duration.Seconds())
+	return b.String()
+}
+
+const microsPerMilli = 1000
+
+func writeGroup(b *strings.Builder, g callers.GroupReport) {
+	fmt.Fprintf(b, "%-12s %8d %8d %8d %8d %9d %8d %10.1f %10.1f\n",
+		g.Name, g.Flows, g.Answered, g.Refused, g.Broken, g.Requests, g.Refusals,
+		float64(g.AnswerP50)/microsPerMilli, float64(g.AnswerP99)/microsPerMilli)
+	for _, c := range g.BrokenBy {
+		fmt.Fprintf(b, "    broken: %d %s\n", c.Count, c.Cause)
+	}
+}
+
+func (s Summary) writeTargets(b *strings.Builder) {
+	if len(s.Targets) == 0 {
+		return
+	}
+	for _, i := range s.Imbalances {
+		fmt.Fprintf(b, "imbalance    %s: max/mean %.2f of the flows opened at %d targets\n", i.Service, i.Ratio(), i.Targets)
+	}
+	t := s.totalTargets()
+	fmt.Fprintf(b, "targets      %d requests run, %d run twice, %d shed, %d packets at a wrong service, %d payloads of unopened flows\n",
+		t.Run, t.RunTwice, t.Shed, t.WrongService, t.NeverOpened)
+}
--- a/internal/standin/upstream/counts.go
+++ b/internal/standin/upstream/counts.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net/netip"
 	"sync/atomic"
 
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -8,7 +9,8 @@
 
 // Counts is what one upstream has seen.
 type Counts struct {
-	Target state.TargetID `json:"target"`
+	Target  state.TargetID `json:"target"`
+	Service netip.AddrPort `json:"service"`
 	// Opened counts flows whose first packet came, Open those not yet ended.
 	Opened int64 `json:"opened"`
 	Open   int64 `json:"open"`
@@ -38,9 +40,10 @@
 	malformed                            atomic.Int64
 }
 
-func (c *counts) read(id state.TargetID) Counts {
+func (c *counts) read(id state.TargetID, service netip.AddrPort) Counts {
 	return Counts{
 		Target:       id,
+		Service:      service,
 		Opened:       c.opened.Load(),
 		Open:         c.open.Load(),
 		Run:          c.run.Load(),
--- a/internal/standin/upstream/target.go
+++ b/internal/standin/upstream/target.go
@@ -81,7 +81,7 @@
 }
 
 // Counts returns what the target has seen up to now.
-func (t *Target) Counts() Counts { return t.counts.read(t.options.ID) }
+func (t *Target) Counts() Counts { return t.counts.read(t.options.ID, t.options.Service) }
 
 // SetFaults replaces the target's faults.
 func (t *Target) SetFaults(faults Faults) {
