--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,311 @@
+#!/usr/bin/env bash
+# Runs the whole path on loopback: the platform, seven entry hosts in three
+# failure domains, upstreams and callers; applies a release note, puts a load
+# on, applies a second note under that load and prints the summary. Exits
+# non-zero if a flow broke, a packet reached a wrong service or a request ran
+# twice. Settings and logs go to a temporary directory, which is kept on failure.
+#
+# DEMO_NET sets the first two bytes of the loopback addresses, DEMO_SEED the seed
+# of the load.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+net=${DEMO_NET:-127.77}
+seed=${DEMO_SEED:-1}
+platform_address=$net.0.1:7900
+platform=http://$platform_address
+upstreams=$net.0.2:7901
+return_address=$net.0.3:7902
+feed=198.51.100.10:443
+proofs='[2001:db8::20]:443'
+lookups=198.51.100.30:53
+
+dir=$(mktemp -d)
+pids=()
+failed=1
+
+stop_all() {
+	for pid in "${pids[@]}"; do
+		kill "$pid" 2>/dev/null || true
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null || true
+	done
+	if [ "$failed" -eq 0 ]; then
+		rm -rf "$dir"
+	else
+		echo "demo: settings and logs are in $dir"
+	fi
+}
+trap stop_all EXIT
+
+# start NAME COMMAND... runs a process in the background with its log.
+start() {
+	local name=$1
+	shift
+	"$@" >"$dir/$name.log" 2>&1 &
+	pids+=("$!")
+}
+
+# await WHAT COMMAND... polls until the command succeeds.
+await() {
+	local what=$1
+	shift
+	for _ in $(seq 150); do
+		if "$@" >/dev/null 2>&1; then
+			return
+		fi
+		sleep 0.1
+	done
+	echo "demo: gave up waiting for $what"
+	exit 1
+}
+
+hosts=(a1:1:lima-a a2:2:lima-a a3:3:lima-a b1:4:lima-b b2:5:lima-b c1:6:lima-c c2:7:lima-c)
+
+# seeds prints the seed entries of all hosts.
+seeds() {
+	local entry id number domain
+	for entry in "${hosts[@]}"; do
+		IFS=: read -r id number domain <<<"$entry"
+		cat <<-TOML
+
+			[[membership.seeds]]
+			id = "$id"
+			domain = "$domain"
+			packets = "$net.1.$number:6080"
+			relay = "$net.1.$number:6081"
+			control = "$net.1.$number:6082"
+		TOML
+	done
+}
+
+# host_settings ID NUMBER DOMAIN prints the settings of one entry host.
+host_settings() {
+	cat <<-TOML
+		[host]
+		id = "$1"
+		domain = "$3"
+		packets = "$net.1.$2:6080"
+		relay = "$net.1.$2:6081"
+		control = "$net.1.$2:6082"
+		metrics = "$net.1.$2:6083"
+
+		[fabric]
+		return = "$return_address"
+
+		[platform]
+		url = "$platform"
+	TOML
+	seeds
+}
+
+# host_list prints the platform's list of entry hosts.
+host_list() {
+	local entry id number domain separator=""
+	printf '{"hosts":['
+	for entry in "${hosts[@]}"; do
+		IFS=: read -r id number domain <<<"$entry"
+		printf '%s{"ID":"%s","Domain":"%s","Packets":"%s:6080","Relay":"%s:6081","Control":"%s:6082","leaving":false}' \
+			"$separator" "$id" "$domain" "$net.1.$number" "$net.1.$number" "$net.1.$number"
+		separator=","
+	done
+	printf ']}\n'
+}
+
+# target_list prints "id service domain address slots" for each target.
+target_list() {
+	local n domains=(lima-a lima-b lima-c)
+	for n in $(seq 15); do
+		echo "feed-$n feed ${domains[n % 3]} $net.2.$n:6080 3"
+	done
+	for n in $(seq 4); do
+		echo "proof-$n proofs ${domains[n % 3]} $net.3.$n:6080 3"
+	done
+	for n in 1 2; do
+		echo "lookup-$n lookups ${domains[n % 3]} $net.4.$n:6080 3"
+	done
+}
+
+service_address() {
+	case $1 in
+	feed) echo "$feed" ;;
+	proofs) echo "$proofs" ;;
+	lookups) echo "$lookups" ;;
+	esac
+}
+
+service_protocol() {
+	case $1 in
+	lookups) echo udp ;;
+	*) echo tcp ;;
+	esac
+}
+
+upstream_settings() {
+	local id service domain address slots
+	cat <<-TOML
+		control = "$upstreams"
+		return = "$return_address"
+
+		[report]
+		platform = "$platform"
+		interval = "1s"
+		lag = "2s"
+	TOML
+	target_list | while read -r id service domain address slots; do
+		cat <<-TOML
+
+			[[target]]
+			id = "$id"
+			address = "$address"
+			service = "$(service_address "$service")"
+			protocol = "$(service_protocol "$service")"
+			slots = $slots
+			connections = 2000
+			service_time = "2ms"
+		TOML
+	done
+}
+
+note_target() {
+	cat <<-TOML
+
+		[[add.target]]
+		id = "$1"
+		service = "$2"
+		domain = "$3"
+		address = "$4"
+		slots = $5
+		connections = 2000
+	TOML
+}
+
+first_note() {
+	local id service domain address slots
+	cat <<-TOML
+		id = "demo-1"
+		base = 0
+	TOML
+	for domain in lima-a lima-b lima-c; do
+		printf '\n[[add.domain]]\nid = "%s"\n' "$domain"
+	done
+	for customer in huaman desk; do
+		printf '\n[[set.customer]]\nid = "%s"\nweight = 1\n' "$customer"
+	done
+	for service in feed proofs lookups; do
+		cat <<-TOML
+
+			[[add.service]]
+			id = "$service"
+			customer = "$([ "$service" = lookups ] && echo desk || echo huaman)"
+			protocol = "$(service_protocol "$service")"
+			address = "$(service_address "$service")"
+			way = "owner"
+			idle_timeout = "60s"
+		TOML
+	done
+	target_list | while read -r id service domain address slots; do
+		if [ "$id" != feed-15 ]; then
+			note_target "$id" "$service" "$domain" "$address" "$slots"
+		fi
+	done
+}
+
+second_note() {
+	cat <<-TOML
+		id = "demo-2"
+		base = 1
+
+		[[withdraw.target]]
+		id = "feed-2"
+	TOML
+	target_list | while read -r id service domain address slots; do
+		if [ "$id" = feed-15 ]; then
+			note_target "$id" "$service" "$domain" "$address" "$slots"
+		fi
+	done
+}
+
+# group NAME SERVICE FLOWS RAMP EXCHANGES INTERVAL KIND SIZE prints a load group.
+group() {
+	cat <<-TOML
+
+		[[group]]
+		name = "$1"
+		service = "$(service_address "$2")"
+		protocol = "$(service_protocol "$2")"
+		flows = $3
+		ramp = "$4"
+		exchanges = $5
+		interval = "$6"
+		kind = "$7"
+		answer_size = $8
+	TOML
+}
+
+caller_settings() {
+	local entry id number domain list=""
+	for entry in "${hosts[@]}"; do
+		IFS=: read -r id number domain <<<"$entry"
+		list+="\"$net.1.$number:6080\", "
+	done
+	cat <<-TOML
+		listen = "$return_address"
+		hosts = [${list%, }]
+		upstreams = "http://$upstreams"
+		changed_targets = ["feed-2", "feed-15"]
+		seed = $seed
+		loss = 0.005
+		delay = "1ms"
+		jitter = "2ms"
+		workers = 4
+		limit = "60s"
+	TOML
+	group feed feed 1000 8s 20 1s fetch 2000
+	group deposits feed 900 24s 1 1s deposit 200
+	group proofs proofs 300 24s 1 1s fetch 60000
+	group lookups lookups 200 15s 10 500ms fetch 300
+}
+
+echo "demo: ${#hosts[@]} entry hosts in 3 failure domains, 20 targets and one to add, on $net.0.0/16"
+host_list >"$dir/hosts.json"
+start platform ./bin/guava-standin platform --listen "$platform_address" --hosts "$dir/hosts.json"
+upstream_settings >"$dir/upstreams.toml"
+start upstreams ./bin/guava-standin upstream --config "$dir/upstreams.toml"
+for entry in "${hosts[@]}"; do
+	IFS=: read -r id number domain <<<"$entry"
+	host_settings "$id" "$number" "$domain" >"$dir/$id.toml"
+	start "$id" ./bin/guavad --config "$dir/$id.toml"
+done
+for entry in "${hosts[@]}"; do
+	IFS=: read -r id number domain <<<"$entry"
+	await "entry host $id" ./bin/guavactl hosts --host "$net.1.$number:6082"
+done
+
+first_note >"$dir/demo-1.toml"
+echo "demo: applying the first release note"
+./bin/guavactl apply "$dir/demo-1.toml" --platform "$platform" --wait 30s
+
+caller_settings >"$dir/callers.toml"
+echo "demo: load starts"
+./bin/guava-standin callers --config "$dir/callers.toml" >"$dir/summary.txt" 2>"$dir/callers.log" &
+callers=$!
+pids+=("$callers")
+
+sleep 12
+second_note >"$dir/demo-2.toml"
+echo "demo: applying the second release note under load: feed-15 added, feed-2 withdrawn"
+./bin/guavactl apply "$dir/demo-2.toml" --platform "$platform" --wait 30s
+
+status=0
+wait "$callers" || status=$?
+cat "$dir/summary.txt"
+./bin/guavactl status --platform "$platform"
+if [ "$status" -ne 0 ]; then
+	cat "$dir/callers.log"
+	echo "demo: FAILED"
+	exit 1
+fi
+failed=0
+echo "demo: passed"
