--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,13 +10,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/samber/oops"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/control"
 	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/protocol/rpcapi"
 	"github.com/guavawharf/guavawharf/internal/protocol/settings"
 	"github.com/guavawharf/guavawharf/internal/transport/platform"
 	"github.com/guavawharf/guavawharf/internal/transport/rpc"
@@ -89,9 +89,7 @@
 
 // openControl listens for peers and operators.
 func (d *Daemon) openControl() error {
-	for _, message := range control.Messages() {
-		rpc.Register(message)
-	}
+	rpcapi.RegisterMessages(control.Messages()...)
 	d.peers = rpc.NewPeers(d.settings.Host, rpc.PeerSettings{}, d.counters)
 	var err error
 	operator := &operator{daemon: d}
