--- /dev/null
+++ b/internal/scenarios/scenarios_test.go
@@ -0,0 +1,205 @@
+// Package scenarios runs operators' stories against the real binaries on
+// loopback. Each story is a script in testdata; waiting is polling.
+//
+// Commands beside those of testscript:
+//
+//	cluster HOSTS DOMAINS      start the platform and entry hosts a1, b1, ... a2, ...
+//	start NAME                 start an entry host, or "platform", again
+//	stop NAME                  SIGTERM, then wait for exit code 0
+//	kill NAME                  SIGKILL, then wait for the end
+//	freeze NAME, thaw NAME     SIGSTOP, SIGCONT
+//	fault JSON                 set the platform's faults; {} clears them
+//	poll REGEXP COMMAND...     run the command until its output matches
+//	background NAME BIN ARGS   start another process
+//	finish NAME CODE           wait for a process and check its exit code
+package scenarios
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries is the directory of the built programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "guavawharf-scenarios")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir+"/", "../../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// clusterKey finds the cluster of a script in its environment's values.
+type clusterKey struct{}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"cluster":    cmdCluster,
+			"start":      cmdStart,
+			"stop":       cmdStop,
+			"kill":       cmdKill,
+			"freeze":     cmdFreeze,
+			"thaw":       cmdThaw,
+			"fault":      cmdFault,
+			"poll":       cmdPoll,
+			"background": cmdBackground,
+			"finish":     cmdFinish,
+		},
+	})
+}
+
+func setup(env *testscript.Env) error {
+	c := newCluster(env.WorkDir)
+	env.Values[clusterKey{}] = c
+	env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
+	env.Setenv("PLATFORM", "http://"+c.address(1, portPlatform).String())
+	env.Setenv("CALLERS", c.address(1, portReturn).String())
+	for i := range 20 {
+		env.Setenv(fmt.Sprintf("UPSTREAM%d", i), c.address(i+100, portPackets).String())
+	}
+	testing, ok := env.T().(interface{ Failed() bool })
+	failed := func() bool { return !ok || testing.Failed() }
+	env.Defer(func() { c.stopAll(env.T(), failed) })
+	return nil
+}
+
+func clusterOf(ts *testscript.TestScript) *cluster {
+	return ts.Value(clusterKey{}).(*cluster)
+}
+
+func number(ts *testscript.TestScript, text string) int {
+	value, err := strconv.Atoi(text)
+	ts.Check(err)
+	return value
+}
+
+func cmdCluster(ts *testscript.TestScript, _ bool, args []string) {
+	c := clusterOf(ts)
+	c.plan(number(ts, args[0]), number(ts, args[1]))
+	ts.Check(c.writeFiles())
+	ts.Check(c.startPlatform())
+	for _, host := range c.hosts {
+		name := strings.ToUpper(string(host.ID))
+		ts.Setenv(name, host.Control.String())
+		ts.Setenv(name+"_PACKETS", host.Packets.String())
+		ts.Check(c.startHost(string(host.ID)))
+	}
+}
+
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	c := clusterOf(ts)
+	if args[0] == "platform" {
+		ts.Check(c.startPlatform())
+		return
+	}
+	ts.Check(c.startHost(args[0]))
+}
+
+func cmdStop(ts *testscript.TestScript, _ bool, args []string) {
+	c := clusterOf(ts)
+	ts.Check(c.signal(args[0], syscall.SIGTERM))
+	code, err := c.wait(args[0])
+	ts.Check(err)
+	if code != 0 {
+		ts.Fatalf("%s ended with exit code %d", args[0], code)
+	}
+}
+
+func cmdKill(ts *testscript.TestScript, _ bool, args []string) {
+	c := clusterOf(ts)
+	ts.Check(c.signal(args[0], syscall.SIGKILL))
+	_, err := c.wait(args[0])
+	ts.Check(err)
+}
+
+func cmdFreeze(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		ts.Check(clusterOf(ts).signal(name, syscall.SIGSTOP))
+	}
+}
+
+func cmdThaw(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		ts.Check(clusterOf(ts).signal(name, syscall.SIGCONT))
+	}
+}
+
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	body := strings.NewReader(strings.Join(args, " "))
+	answer, err := http.Post(ts.Getenv("PLATFORM")+"/v1/faults", "application/json", body)
+	ts.Check(err)
+	_ = answer.Body.Close()
+	if answer.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("the platform answered %s", answer.Status)
+	}
+}
+
+// Bounds of polling. The limit only ends a script that will never pass.
+const (
+	pollPause = 100 * time.Millisecond
+	pollLimit = 60 * time.Second
+)
+
+func cmdPoll(ts *testscript.TestScript, _ bool, args []string) {
+	wanted := regexp.MustCompile(args[0])
+	var output []byte
+	for deadline := time.Now().Add(pollLimit); time.Now().Before(deadline); time.Sleep(pollPause) {
+		output = combined(ts, args[1:])
+		if wanted.Match(output) {
+			return
+		}
+	}
+	ts.Fatalf("%v never printed %q; last:\n%s", args[1:], args[0], output)
+}
+
+func combined(ts *testscript.TestScript, args []string) []byte {
+	var output bytes.Buffer
+	command := exec.Command(filepath.Join(binaries, args[0]), args[1:]...)
+	command.Dir = ts.MkAbs(".")
+	command.Stdout = &output
+	command.Stderr = &output
+	_ = command.Run()
+	return output.Bytes()
+}
+
+func cmdBackground(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(clusterOf(ts).start(args[0], args[1], args[2:]...))
+}
+
+func cmdFinish(ts *testscript.TestScript, _ bool, args []string) {
+	c := clusterOf(ts)
+	code, err := c.wait(args[0])
+	ts.Check(err)
+	if code != number(ts, args[1]) {
+		ts.Fatalf("%s ended with exit code %d:\n%s", args[0], code, tail(c.processes[args[0]].log.String()))
+	}
+}
