Keep flows whole while owners and targets change together

Ruled out: lost copies (the record was on two hosts each time).

Change: the search order depends on the view alone; an owner falls back only when owners have not changed lately; Service.Retired keeps the last 32 withdrawn targets in the release, so that hosts that join know them too; the last hop forwards directly.

--- a/internal/coordination/traffic/chain.go
+++ b/internal/coordination/traffic/chain.go
@@ -6,78 +6,31 @@
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
-// Bounds of an owner chain.
-const (
-	// maxCandidates bounds the hosts in an owner chain.
-	maxCandidates = 6
-	// maxAlivePerDomain bounds the alive hosts of one domain in a chain.
-	maxAlivePerDomain = 3
-	// maxLeavingPerDomain bounds the leaving hosts of one domain in a chain.
-	maxLeavingPerDomain = 1
-	// maxDomains bounds the domains that are ranked for a flow.
-	maxDomains = 16
-)
-
-// chain is the ordered list of a flow's owner candidates.
-type chain struct {
-	hosts [maxCandidates]*hostRoute
-	len   int
-	// home is the failure domain whose hosts come first.
+// owners is the owner pair of a flow.
+type owners struct {
+	// first keeps the flow's record and passes its packets on; nil only in an
+	// empty view.
+	first *hostRoute
+	// second keeps a copy; nil if there is no other host.
+	second *hostRoute
+	// home is the failure domain of first.
 	home *domainRoute
 }
 
-// add appends a host unless the chain is full.
-func (c *chain) add(h *hostRoute) {
-	if c.len == maxCandidates {
-		return
-	}
-	c.hosts[c.len] = h
-	c.len++
-}
-
-// first returns the first owner.
-func (c *chain) first() *hostRoute { return c.hosts[0] }
-
-// second returns the second owner, the first other host that is not leaving;
-// nil if there is none.
-func (c *chain) second() *hostRoute {
-	for _, h := range c.hosts[1:max(c.len, 1)] {
-		if !h.leaving {
-			return h
-		}
-	}
-	return nil
-}
-
-// pair returns the first and the second owner; either may be nil.
-func (c *chain) pair() [2]*hostRoute {
-	return [2]*hostRoute{c.first(), c.second()}
-}
-
-// self returns the position of this host, -1 if it is not in the chain.
-func (c *chain) self() int {
-	for i := 0; i < c.len; i++ {
-		if c.hosts[i].self {
-			return i
-		}
-	}
-	return -1
-}
-
 // partner returns the owner that shares the flow with this host: the second for
-// the first owner, the first for any other; nil if there is none.
-func (c *chain) partner() *hostRoute {
-	if c.hosts[0].self {
-		return c.second()
+// the first owner, the first for any other host; nil if there is none.
+func (o *owners) partner() *hostRoute {
+	if o.first.self {
+		return o.second
 	}
-	return c.hosts[0]
+	return o.first
 }
 
 // signature identifies the owner pair, restarts included. It is never 0.
-func (c *chain) signature() uint32 {
-	sum := c.hosts[0].instance
-	if second := c.second(); second != nil {
-		sum = mix64(sum) + second.instance
+func (o *owners) signature() uint32 {
+	sum := o.first.instance
+	if o.second != nil {
+		sum = mix64(sum) + o.second.instance
 	}
 	return uint32(sum>>32) | 1
 }
@@ -86,7 +39,8 @@
 type serviceRoutes struct {
 	entry *state.ServiceEntry
 	view  *viewIndex
-	// owning and placing are the weights of view.domains, in its order.
+	// owning and placing are the weights of view.domains, in its order. They
+	// are 0 for a domain without hosts that may own new flows.
 	owning  []float64
 	placing []float64
 	// former holds the routes before the last change of owners, which count
@@ -95,8 +49,7 @@
 	formerUntil time.Time
 }
 
-// newServiceRoutes joins a service's domain weights with a view. Without any
-// weight in a domain that has hosts, all domains weigh the same.
+// newServiceRoutes joins a service's domain weights with a view.
 func newServiceRoutes(entry *state.ServiceEntry, view *viewIndex) *serviceRoutes {
 	r := &serviceRoutes{
 		entry:   entry,
@@ -106,100 +59,84 @@
 	}
 	for i, domain := range view.domains {
 		for _, w := range entry.Domains {
-			if w.Domain != domain.id || len(domain.alive) == 0 {
-				continue
+			if w.Domain == domain.id && len(domain.alive) > 0 {
+				r.owning[i] = float64(w.Weight)
+				r.placing[i] = float64(w.Usable)
 			}
-			r.owning[i] = float64(w.Weight)
-			r.placing[i] = float64(w.Usable)
 		}
 	}
 	return r
 }
 
-// rank orders the domains for a flow by weighted rendezvous, best first.
-func (r *serviceRoutes) rank(fp state.Fingerprint, weights []float64, order *[maxDomains]*domainRoute) int {
-	var scores [maxDomains]float64
-	n := 0
-	for i, domain := range r.view.domains {
-		if n == maxDomains {
-			break
-		}
-		score := weightedScore(mix64(fp.High^domain.seed), weights[i])
-		at := n
-		for at > 0 && scores[at-1] > score {
-			scores[at] = scores[at-1]
-			order[at] = order[at-1]
-			at--
+// owners returns the flow's owner pair: the best two hosts of its home domain,
+// or one host each of its best two domains. Hosts that are leaving come last.
+func (r *serviceRoutes) owners(fp state.Fingerprint) owners {
+	home := r.best(fp, r.owning, nil)
+	if home == nil {
+		return r.leavingOwners(fp)
+	}
+	o := owners{home: home}
+	o.first = topHost(home.alive, fp, nil)
+	o.second = topHost(home.alive, fp, o.first)
+	if o.second != nil {
+		return o
+	}
+	if next := r.best(fp, r.owning, home); next != nil {
+		o.second = topHost(next.alive, fp, nil)
+	}
+	return o
+}
+
+// leavingOwners returns the owner of a flow when every host is leaving.
+func (r *serviceRoutes) leavingOwners(fp state.Fingerprint) owners {
+	for _, domain := range r.view.domains {
+		if len(domain.leaving) > 0 {
+			return owners{first: topHost(domain.leaving, fp, nil), home: domain}
 		}
-		scores[at] = score
-		order[at] = domain
-		n++
 	}
-	return n
+	return owners{}
 }
 
-// chain returns the flow's owner candidates: the home domain's hosts in
-// rendezvous order, then those of the other domains.
-func (r *serviceRoutes) chain(fp state.Fingerprint) chain {
-	var order [maxDomains]*domainRoute
-	n := r.rank(fp, r.owning, &order)
-	var c chain
-	for _, domain := range order[:n] {
-		if c.home == nil {
-			c.home = domain
+// best returns the domain with alive hosts that wins the weighted rendezvous,
+// except one that may be nil; nil if there is none.
+func (r *serviceRoutes) best(fp state.Fingerprint, weights []float64, except *domainRoute) *domainRoute {
+	var winner *domainRoute
+	least := 0.0
+	for i, domain := range r.view.domains {
+		if domain == except || len(domain.alive) == 0 {
+			continue
+		}
+		score := weightedScore(mix64(fp.High^domain.seed), weights[i])
+		if winner == nil || score < least {
+			winner = domain
+			least = score
 		}
-		addBest(&c, domain.alive, fp, maxAlivePerDomain)
-		addBest(&c, domain.leaving, fp, maxLeavingPerDomain)
 	}
-	return c
+	return winner
 }
 
-// addBest appends the best hosts of a list by rendezvous, at most limit.
-func addBest(c *chain, hosts []*hostRoute, fp state.Fingerprint, limit int) {
-	var scores [maxAlivePerDomain]uint64
-	var best [maxAlivePerDomain]*hostRoute
-	n := 0
+// topHost returns the host that wins the rendezvous, except one that may be
+// nil; nil if there is none.
+func topHost(hosts []*hostRoute, fp state.Fingerprint, except *hostRoute) *hostRoute {
+	var winner *hostRoute
+	highest := uint64(0)
 	for _, h := range hosts {
 		score := mix64(fp.Low ^ h.seed)
-		at := n
-		if n == limit {
-			if score <= scores[n-1] {
-				continue
-			}
-			at--
-		} else {
-			n++
-		}
-		for at > 0 && scores[at-1] < score {
-			scores[at] = scores[at-1]
-			best[at] = best[at-1]
-			at--
+		if h != except && (winner == nil || score > highest) {
+			winner = h
+			highest = score
 		}
-		scores[at] = score
-		best[at] = h
-	}
-	for _, h := range best[:n] {
-		c.add(h)
 	}
+	return winner
 }
 
 // placeDomain returns the domain whose targets a new flow prefers; nil when no
 // domain with hosts has a usable target.
 func (r *serviceRoutes) placeDomain(fp state.Fingerprint) *domainRoute {
-	best := -1
-	least := 0.0
-	for i, domain := range r.view.domains {
-		if r.placing[i] == 0 {
-			continue
-		}
-		score := weightedScore(mix64(fp.High^domain.seed), r.placing[i])
-		if best < 0 || score < least {
-			best = i
-			least = score
+	for _, weight := range r.placing {
+		if weight > 0 {
+			return r.best(fp, r.placing, nil)
 		}
 	}
-	if best < 0 {
-		return nil
-	}
-	return r.view.domains[best]
+	return nil
 }
--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -66,8 +66,8 @@
 		return e.byHash(entry, p)
 	}
 	f := flow{packet: p, routes: e.routes(entry)}
-	f.chain = f.routes.chain(p.Fingerprint)
-	if f.chain.len == 0 {
+	f.owners = f.routes.owners(p.Fingerprint)
+	if f.owners.first == nil {
 		return drop(ReasonNoHosts)
 	}
 	if !p.Relayed {
@@ -83,7 +83,7 @@
 type flow struct {
 	packet *Packet
 	routes *serviceRoutes
-	chain  chain
+	owners owners
 }
 
 // begin sets the time and takes up a new snapshot.
@@ -118,10 +118,10 @@
 
 // fromFabric decides about a packet that no entry host has seen yet.
 func (e *Engine) fromFabric(f *flow) Decision {
-	if f.chain.first().self {
+	if f.owners.first.self {
 		return e.asOwner(f)
 	}
-	return e.relayTo(f, f.chain.first(), 0, ReasonToOwner)
+	return e.relayTo(f, f.owners.first, 0, ReasonToOwner)
 }
 
 // byHash forwards by the newest lookup table alone.
--- a/internal/coordination/traffic/experiment/bed.go
+++ b/internal/coordination/traffic/experiment/bed.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -86,6 +87,17 @@
 	Reasons map[traffic.Reason]int
 }
 
+// String returns the counts on one line.
+func (c Counts) String() string {
+	return fmt.Sprintf("opened %d broken %d refused %d unanswered %d wrong %d two %d seen %d late %d"+
+		" hops/packet %.2f between %.2f notices %d reasons %v",
+		c.Opened, c.Broken, c.Refused, c.Unanswered, c.WrongService, c.TwoTargets, c.RefusedSeen, c.LateOpenings,
+		c.perPacket(c.Hops), c.perPacket(c.BetweenHops), c.Notices, c.Reasons)
+}
+
+// perPacket divides a count by the packets that arrived.
+func (c Counts) perPacket(n int) float64 { return float64(n) / float64(max(c.Packets, 1)) }
+
 // Bed is a running experiment.
 type Bed struct {
 	Counts   Counts
--- a/internal/coordination/traffic/experiment/host.go
+++ b/internal/coordination/traffic/experiment/host.go
@@ -27,6 +27,7 @@
 	entries map[state.ServiceNumber]*state.ServiceEntry
 	members map[state.HostID]state.Member
 	epoch   uint32
+	version state.ReleaseVersion
 	// up is false once the process has ended; sprayed is true while the fabric
 	// sends packets here.
 	up      bool
@@ -85,6 +86,10 @@
 
 // Install puts a release in force on this host.
 func (h *Host) Install(release state.Release) {
+	if release.Version < h.version {
+		return
+	}
+	h.version = release.Version
 	for _, service := range release.Services {
 		h.entries[service.Number] = lookup.Carry(h.entries[service.Number], service, release.Version)
 	}
@@ -95,7 +100,7 @@
 func (h *Host) publish() {
 	snap := &state.Snapshot{
 		Self:     h.Host,
-		Version:  h.bed.release.Version,
+		Version:  h.version,
 		Services: make(map[state.ServiceAddress]*state.ServiceEntry),
 		Targets:  make(map[state.TargetNumber]*state.TargetEntry),
 		View:     state.View{Epoch: h.epoch, Members: h.Members()},
--- a/internal/coordination/traffic/experiment/plan.go
+++ b/internal/coordination/traffic/experiment/plan.go
@@ -132,7 +132,9 @@
 
 // WithdrawTarget removes the n-th target of the i-th service.
 func (b *Bed) WithdrawTarget(i, n int) {
-	b.release.Services[i].Targets = slices.Delete(b.release.Services[i].Targets, n, n+1)
+	service := &b.release.Services[i]
+	service.Retired = append(slices.Clone(service.Retired), service.Targets[n])
+	service.Targets = slices.Delete(service.Targets, n, n+1)
 }
 
 // DrainTarget marks the n-th target of the i-th service as leaving.
@@ -154,12 +156,13 @@
 
 // tell changes what all other hosts believe of a member, one by one.
 func (b *Bed) tell(m state.Member, after time.Duration) {
-	for _, h := range b.hosts {
-		if h.ID == m.ID {
-			continue
+	b.After(after, func() {
+		for _, h := range b.hosts {
+			if h.ID != m.ID && h.up {
+				b.After(b.upTo(viewSkew), func() { h.Believe(m) })
+			}
 		}
-		b.After(after+b.upTo(viewSkew), func() { h.Believe(m) })
-	}
+	})
 }
 
 // KillHost kills the n-th host.
@@ -184,11 +187,16 @@
 // JoinHost starts a new host in a domain.
 func (b *Bed) JoinHost(domain state.DomainID) {
 	id := state.HostID(fmt.Sprintf("host-%d", len(b.hosts)+1))
-	known := b.hosts[0].Members()
-	h := b.StartHost(id, domain, known)
+	h := b.StartHost(id, domain, b.liveHost().Members())
 	b.tell(h.Member(), 0)
 }
 
+// liveHost returns a host that is up.
+func (b *Bed) liveHost() *Host {
+	i := slices.IndexFunc(b.hosts, func(h *Host) bool { return h.up && !h.leaving })
+	return b.hosts[i]
+}
+
 // Load opens flows at the services at a steady pace: perTarget flows for each
 // target, over d.
 func (b *Bed) Load(perTarget int, d time.Duration, plan Plan) {
--- a/internal/coordination/traffic/experiment/plan_test.go
+++ b/internal/coordination/traffic/experiment/plan_test.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -10,18 +12,101 @@
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
-// steadyPlan is a long flow.
-var steadyPlan = Plan{Requests: 20, Pause: 2 * time.Second}
+// change is something that happens to the installation under load.
+type change struct {
+	name string
+	do   func(b *Bed)
+}
+
+// Planned changes.
+var (
+	releaseChange = change{"release", func(b *Bed) {
+		b.Change()
+		b.AddTarget(0, domainID(1))
+		b.AddTarget(0, domainID(0))
+		b.WithdrawTarget(0, 3)
+		b.Publish()
+	}}
+	drainTarget = change{"target drain", func(b *Bed) {
+		b.Change()
+		b.DrainTarget(0, 5)
+		b.Publish()
+	}}
+	drainHost = change{"host drain", func(b *Bed) { b.DrainHost(1) }}
+	joinHost  = change{"host join", func(b *Bed) { b.JoinHost(domainID(0)) }}
+	killHost  = change{"host kill", func(b *Bed) { b.KillHost(0) }}
+	nothing   = change{"nothing", func(*Bed) {}}
+)
 
-func TestSteadyState(t *testing.T) {
+// runChanges runs changes, the second shortly after the first, in the middle of
+// a load of long flows.
+func runChanges(topology Topology, seed uint64, way state.Way, settings traffic.Settings, changes ...change) *Bed {
+	b := Start(topology, seed, way, settings)
+	b.Run(time.Second)
+	b.Load(60, 20*time.Second, Plan{Requests: 15, Pause: 2 * time.Second})
+	for i, c := range changes {
+		b.After(8*time.Second+time.Duration(i)*b.upTo(time.Second), func() { c.do(b) })
+	}
+	b.Run(90 * time.Second)
+	return b
+}
+
+// requireWhole checks what no planned change may cause.
+func requireWhole(t require.TestingT, b *Bed, name string) {
+	require.NotZero(t, b.Counts.Opened, name)
+	require.Zero(t, b.Counts.Broken, name)
+	require.Zero(t, b.Counts.WrongService, name)
+	require.Zero(t, b.Counts.TwoTargets, name)
+	require.Zero(t, b.Counts.RefusedSeen, name)
+	require.Zero(t, b.Counts.LateOpenings, name)
+}
+
+func TestPlannedChangesBreakNoFlow(t *testing.T) {
+	planned := []change{releaseChange, drainTarget, drainHost, joinHost}
 	for _, topology := range []Topology{Huaman, Hanbit} {
-		b := Start(topology, 1, state.WayOwner, traffic.Settings{})
-		b.Run(time.Second)
-		b.Load(200, 10*time.Second, steadyPlan)
-		b.Run(15 * time.Second)
-		t.Logf("%s imbalance %.3f", topology.Name, b.Imbalance(b.Service(0).Number))
-		b.Run(time.Minute)
-		t.Logf("%+v", b.Counts)
-		require.Zero(t, b.Counts.Broken)
+		for i, first := range planned {
+			for _, second := range planned[i:] {
+				name := topology.Name + " " + first.name + " + " + second.name
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					for seed := range seeds() {
+						b := runChanges(topology, seed, state.WayOwner, traffic.Settings{}, first, second)
+						t.Logf("seed %d: %v", seed, b.Counts)
+						requireWhole(t, b, name)
+					}
+				})
+			}
+		}
 	}
 }
+
+// seeds returns the number of seeds that a test runs; GUAVA_SEEDS raises it.
+func seeds() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("GUAVA_SEEDS"), 10, 16)
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+func TestHostKilledDuringRelease(t *testing.T) {
+	for _, topology := range []Topology{Huaman, Hanbit} {
+		for _, second := range []change{nothing, releaseChange, drainTarget, drainHost, joinHost} {
+			name := topology.Name + " host kill + " + second.name
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range seeds() {
+					b := runChanges(topology, seed, state.WayOwner, traffic.Settings{}, killHost, second)
+					t.Logf("seed %d: %v", seed, b.Counts)
+					requireWhole(t, b, name)
+				}
+			})
+		}
+	}
+}
+
+func TestSingleOwnerBreaksFlows(t *testing.T) {
+	b := runChanges(Huaman, 1, state.WayOwner, traffic.Settings{SingleOwner: true}, killHost, releaseChange)
+	t.Logf("%v", b.Counts)
+	require.NotZero(t, b.Counts.Broken)
+}
--- a/internal/coordination/traffic/keep.go
+++ b/internal/coordination/traffic/keep.go
@@ -25,10 +25,10 @@
 	if r == nil {
 		return nil
 	}
-	r.pair = f.chain.signature()
+	r.pair = f.owners.signature()
 	r.refreshed = e.tick
 	if target := e.snap.Targets[r.target]; target != nil {
-		e.count(f.chain.first().self, r, target)
+		e.count(f.owners.first.self, r, target)
 	}
 	return r
 }
@@ -116,3 +116,9 @@
 	e.uncount(r)
 	e.records.remove(r.fingerprint)
 }
+
+// replaceable reports whether an opening starts a new flow although there is a
+// record: the flow was closed, or it has not opened and its target is leaving.
+func (e *Engine) replaceable(r *record) bool {
+	return r.phase == phaseClosing || r.phase == phaseOpening && e.isLeaving(r.target)
+}
--- a/internal/coordination/traffic/notices.go
+++ b/internal/coordination/traffic/notices.go
@@ -18,9 +18,9 @@
 // repair copies the record to owners that lack it: after a change of the owner
 // pair, and when the packet came along the chain because they had no record.
 func (e *Engine) repair(f *flow, r *record, d *Decision) {
-	searched := f.packet.Relayed && f.packet.Relay.Position > 0
+	searched := f.packet.Relayed && f.packet.Relay.Hops > 1
 	recently := e.tick-r.refreshed < ticks(repairInterval)
-	if r.pair == f.chain.signature() && (!searched || recently) {
+	if r.pair == f.owners.signature() && (!searched || recently) {
 		return
 	}
 	e.repairPair(f, r, d)
@@ -32,10 +32,10 @@
 
 // repairPair copies the record to the current owner pair.
 func (e *Engine) repairPair(f *flow, r *record, d *Decision) {
-	r.pair = f.chain.signature()
+	r.pair = f.owners.signature()
 	r.refreshed = e.tick
 	h := recordHeader(relay.KindRecord, r)
-	for _, owner := range f.chain.pair() {
+	for _, owner := range [...]*hostRoute{f.owners.first, f.owners.second} {
 		if owner != nil && !owner.self {
 			d.notify(owner, h)
 		}
@@ -100,14 +100,14 @@
 	if r == nil || entry == nil {
 		return
 	}
-	c := e.routes(entry).chain(h.Fingerprint)
-	if c.len == 0 {
+	o := e.routes(entry).owners(h.Fingerprint)
+	if o.first == nil {
 		return
 	}
-	r.pair = c.signature()
+	r.pair = o.signature()
 	r.refreshed = e.tick
 	if target := e.snap.Targets[r.target]; target != nil {
-		e.count(c.first().self, r, target)
+		e.count(o.first.self, r, target)
 	}
 }
 
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -17,7 +17,7 @@
 		e.remove(r)
 		return e.withoutRecord(f)
 	}
-	if opens(f.packet.Kind) && r.replaceable() {
+	if opens(f.packet.Kind) && e.replaceable(r) {
 		e.remove(r)
 		return e.withoutRecord(f)
 	}
@@ -38,7 +38,7 @@
 	if !mayOpen(f.packet.Kind) {
 		return e.search(f)
 	}
-	first := f.chain.first()
+	first := f.owners.first
 	if !first.self && f.packet.Relay.Hops < maxRedirects {
 		return e.relayTo(f, first, 0, ReasonToOwner)
 	}
@@ -60,7 +60,7 @@
 	if target := e.snap.Targets[v.target]; target != nil {
 		target.Load.Openings.Add(1)
 	}
-	partner := f.chain.partner()
+	partner := f.owners.partner()
 	if partner == nil || e.settings.SingleOwner {
 		if r != nil {
 			r.clear(flagTentative)
@@ -77,24 +77,35 @@
 	if target == nil {
 		return e.search(f)
 	}
-	agreed := f.packet.Relayed && f.packet.Relay.Verdict == relay.VerdictForward
 	known := f.packet.Kind == KindData || f.packet.Kind == KindDatagram && r.phase == phaseOpen
 	e.observe(f, r, target)
-	partner := f.chain.partner()
-	via := e.needsPartner(f, r) && !agreed && partner != nil && !e.settings.SingleOwner
+	via := e.needsPartner(f, r) && e.canRelay(f)
 	if known && e.settledOpening(f) {
 		r.clear(flagTentative)
 	}
+	d := e.forward(r.service, r.target, ReasonNone)
 	if via {
-		r.refreshed = e.tick
-		h := recordHeader(relay.KindOpening, r)
-		return e.relayHeader(f, partner, h, ReasonToSecond)
+		d = e.relayHeader(f, f.owners.partner(), recordHeader(relay.KindOpening, r), ReasonToSecond)
 	}
-	d := e.forward(r.service, r.target, ReasonNone)
 	e.repair(f, r, &d)
+	if via {
+		r.refreshed = e.tick
+	}
 	return d
 }
 
+// canRelay reports whether the packet can take the way through the other owner.
+func (e *Engine) canRelay(f *flow) bool {
+	if f.owners.partner() == nil || e.settings.SingleOwner {
+		return false
+	}
+	if !f.packet.Relayed {
+		return true
+	}
+	agreed := f.packet.Relay.Verdict == relay.VerdictForward
+	return !agreed && f.packet.Relay.Hops < relay.MaxHops
+}
+
 // needsPartner reports whether the other owner has to see this packet: while
 // the verdict is tentative, when the flow's phase changes, and now and then so
 // that its copy stays.
@@ -113,41 +124,12 @@
 // settledOpening reports whether a packet in mid-flow proves a tentative
 // verdict: owners have not changed lately, so both owners knew the same.
 func (e *Engine) settledOpening(f *flow) bool {
-	former := f.routes.former != nil && !e.now.After(f.routes.formerUntil)
-	return !former && e.now.Sub(e.started) >= e.settings.Overlap
-}
-
-// search passes a packet without a record to the next candidate. The last one
-// falls back to the base table.
-func (e *Engine) search(f *flow) Decision {
-	next := f.chain.self() + 1
-	if next == 0 {
-		next = int(f.packet.Relay.Position) + 1
-	}
-	if next < f.chain.len && !e.settings.SingleOwner {
-		return e.relayTo(f, f.chain.hosts[next], next, ReasonSearch)
-	}
-	return e.fallBack(f)
+	return !e.ownersChanged(f) && e.now.Sub(e.started) >= e.settings.Overlap
 }
 
-// fallBack forwards a packet in mid-flow to the target that the base table
-// gives, and records that it was a guess.
-func (e *Engine) fallBack(f *flow) Decision {
-	if !e.settled(f.chain.home) {
-		return drop(ReasonUnsettled)
-	}
-	tables := f.routes.entry.Tables
-	target := e.hashTarget(f, tables[len(tables)-1])
-	if target == nil {
-		return drop(ReasonNoTarget)
-	}
-	v := forwardTo(target.Number)
-	v.flags = headerGuessed | headerOpen
-	d := e.forward(target.Service, target.Number, ReasonFallback)
-	if r := e.keep(f, v); r != nil {
-		e.repairPair(f, r, &d)
-	}
-	return d
+// ownersChanged reports whether owners of the service's flows changed lately.
+func (e *Engine) ownersChanged(f *flow) bool {
+	return f.routes.former != nil && !e.now.After(f.routes.formerUntil)
 }
 
 // refusedAgain gives a packet of a refused flow the remembered verdict.
@@ -175,7 +157,7 @@
 // observe updates a record by a packet of its flow.
 func (e *Engine) observe(f *flow, r *record, target *state.TargetEntry) {
 	r.seen = e.tick
-	e.count(f.chain.first().self, r, target)
+	e.count(f.owners.first.self, r, target)
 	switch f.packet.Kind {
 	case KindOpening:
 	case KindData, KindDatagram:
--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -24,7 +24,7 @@
 // refuseNew refuses a new flow, unless this host is too young to know that
 // nothing of it was forwarded.
 func (e *Engine) refuseNew(f *flow, reason Reason) judgement {
-	if !e.settled(f.chain.home) {
+	if !e.settled(f.owners.home) {
 		return undecided(ReasonUnsettled)
 	}
 	return refusal(reason, e.settings.RetryAfter)
--- a/internal/coordination/traffic/record.go
+++ b/internal/coordination/traffic/record.go
@@ -85,6 +85,3 @@
 
 // forwards reports whether the record names a target.
 func (r *record) forwards() bool { return r.phase != phaseRefused }
-
-// replaceable reports whether a new opening starts a new flow.
-func (r *record) replaceable() bool { return r.phase == phaseClosing }
--- /dev/null
+++ b/internal/coordination/traffic/search.go
@@ -0,0 +1,117 @@
+package traffic
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Bounds of a search.
+const (
+	// searchRanks is the number of hosts visited in each failure domain.
+	searchRanks = 3
+	// maxSearchDomains bounds the failure domains visited.
+	maxSearchDomains = 16
+)
+
+// searchOrder is the order in which a flow's record is searched for. It depends
+// on the view alone, so that hosts with different releases agree on it: the two
+// best hosts of the nearest domain, then the best host of each other domain,
+// then the second and third best ones. Position 0 is the first owner; position
+// i is the cell i-1 of the order.
+type searchOrder struct {
+	domains [maxSearchDomains]*domainRoute
+	len     int
+	fp      state.Fingerprint
+}
+
+// newSearchOrder ranks the domains of a view for a flow.
+func newSearchOrder(view *viewIndex, fp state.Fingerprint) searchOrder {
+	o := searchOrder{fp: fp}
+	o.len = copy(o.domains[:], view.domains)
+	slices.SortFunc(o.domains[:o.len], func(a, b *domainRoute) int {
+		return cmp.Compare(mix64(fp.High^a.seed), mix64(fp.High^b.seed))
+	})
+	return o
+}
+
+// cells is the number of cells in the order.
+func (o *searchOrder) cells() int { return o.len * searchRanks }
+
+// host returns the host of a cell, nil if the domain has too few.
+func (o *searchOrder) host(cell int) *hostRoute {
+	domain, rank := cell%o.len, cell/o.len
+	switch {
+	case cell == 1:
+		domain, rank = 0, 1
+	case cell > 1 && cell <= o.len:
+		domain, rank = cell-1, 0
+	}
+	return o.domains[domain].ranked(o.fp, rank)
+}
+
+// ranked returns the host of a rank by rendezvous, leaving hosts included; nil
+// if there are too few.
+func (d *domainRoute) ranked(fp state.Fingerprint, rank int) *hostRoute {
+	var chosen *hostRoute
+	limit := ^uint64(0)
+	for range rank + 1 {
+		chosen = nil
+		highest := uint64(0)
+		for _, h := range d.hosts {
+			score := mix64(fp.Low ^ h.seed)
+			if score < limit && (chosen == nil || score > highest) {
+				chosen = h
+				highest = score
+			}
+		}
+		if chosen == nil {
+			return nil
+		}
+		limit = highest
+	}
+	return chosen
+}
+
+// search passes a packet without a record on to the next host that may have it.
+// The last one falls back to the base table.
+func (e *Engine) search(f *flow) Decision {
+	hops, position := uint8(0), 0
+	if f.packet.Relayed {
+		hops = f.packet.Relay.Hops
+		position = int(f.packet.Relay.Position)
+	}
+	if e.settings.SingleOwner || hops >= relay.MaxHops {
+		return e.fallBack(f)
+	}
+	order := newSearchOrder(e.view, f.packet.Fingerprint)
+	for cell := position; cell < order.cells(); cell++ {
+		if h := order.host(cell); h != nil && !h.self {
+			return e.relayTo(f, h, cell+1, ReasonSearch)
+		}
+	}
+	return e.fallBack(f)
+}
+
+// fallBack forwards a packet in mid-flow to the target that the base table
+// gives, and records that it was a guess. It does so only when neither this
+// process nor the owners are new: the record may be elsewhere.
+func (e *Engine) fallBack(f *flow) Decision {
+	if !e.settled(f.owners.home) || e.ownersChanged(f) {
+		return drop(ReasonUnsettled)
+	}
+	tables := f.routes.entry.Tables
+	target := e.hashTarget(f, tables[len(tables)-1])
+	if target == nil {
+		return drop(ReasonNoTarget)
+	}
+	v := forwardTo(target.Number)
+	v.flags = headerGuessed | headerOpen
+	d := e.forward(target.Service, target.Number, ReasonFallback)
+	if r := e.keep(f, v); r != nil {
+		e.repairPair(f, r, &d)
+	}
+	return d
+}
--- a/internal/coordination/traffic/second.go
+++ b/internal/coordination/traffic/second.go
@@ -12,7 +12,7 @@
 		return drop(ReasonForeignHeader)
 	}
 	r := e.records.find(f.packet.Fingerprint)
-	if r != nil && (r.service != f.routes.entry.Number || opens(f.packet.Kind) && r.replaceable()) {
+	if r != nil && (r.service != f.routes.entry.Number || opens(f.packet.Kind) && e.replaceable(r)) {
 		e.remove(r)
 		r = nil
 	}
@@ -24,7 +24,7 @@
 		return e.executeRecord(f, r)
 	}
 	d := e.executeRecord(f, r)
-	if partner := f.chain.partner(); partner != nil && !incoming.agrees(r) {
+	if partner := f.owners.partner(); partner != nil && !incoming.agrees(r) {
 		d.notify(partner, recordHeader(relay.KindConfirm, r))
 	}
 	return d
@@ -32,7 +32,7 @@
 
 // adoptUnknown takes the verdict for a flow that this host has no record of.
 func (e *Engine) adoptUnknown(f *flow, v judgement) Decision {
-	if v.verdict == relay.VerdictRefuse && !e.settled(f.chain.home) {
+	if v.verdict == relay.VerdictRefuse && !e.settled(f.owners.home) {
 		return drop(ReasonUnsettled)
 	}
 	if v.has(headerFresh) && e.isLeaving(v.target) {
@@ -62,7 +62,7 @@
 }
 
 // formerPosition marks a verdict sent to the owner before a change of owners.
-const formerPosition = maxCandidates
+const formerPosition = 2
 
 // overrule places a new flow itself because the first owner, by an older
 // snapshot, chose a target that is leaving.
@@ -75,7 +75,7 @@
 	d := e.execute(f, v)
 	if r != nil {
 		r.clear(flagTentative)
-		if partner := f.chain.partner(); partner != nil {
+		if partner := f.owners.partner(); partner != nil {
 			d.notify(partner, recordHeader(relay.KindConfirm, r))
 		}
 	}
@@ -99,7 +99,7 @@
 
 // returnToOwner hands a packet back to the owner that knows the target.
 func (e *Engine) returnToOwner(f *flow, r *record) Decision {
-	partner := f.chain.partner()
+	partner := f.owners.partner()
 	if partner == nil {
 		return drop(ReasonUnknownTarget)
 	}
--- a/internal/coordination/traffic/snapshot.go
+++ b/internal/coordination/traffic/snapshot.go
@@ -51,16 +51,15 @@
 // formerOwner returns the flow's first owner before a recent change of owners;
 // nil if there was no change or the owner is in the current pair.
 func (e *Engine) formerOwner(f *flow) *hostRoute {
-	former := f.routes.former
-	if former == nil || e.now.After(f.routes.formerUntil) {
+	if !e.ownersChanged(f) {
 		return nil
 	}
-	c := former.chain(f.packet.Fingerprint)
-	if c.len == 0 || c.first().self {
+	former := f.routes.former.owners(f.packet.Fingerprint)
+	if former.first == nil || former.first.self {
 		return nil
 	}
-	owner := e.view.host(c.first().id)
-	if owner == nil || owner == f.chain.first() || owner == f.chain.second() {
+	owner := e.view.host(former.first.id)
+	if owner == nil || owner == f.owners.first || owner == f.owners.second {
 		return nil
 	}
 	return owner
--- a/internal/coordination/traffic/sweep.go
+++ b/internal/coordination/traffic/sweep.go
@@ -60,20 +60,20 @@
 	if entry == nil {
 		return notices
 	}
-	c := e.routes(entry).chain(r.fingerprint)
-	if c.len == 0 {
+	o := e.routes(entry).owners(r.fingerprint)
+	if o.first == nil {
 		return notices
 	}
-	signature := c.signature()
+	signature := o.signature()
 	if r.pair == signature && !always {
 		return notices
 	}
 	r.pair = signature
 	if target := e.snap.Targets[r.target]; target != nil {
-		e.count(c.first().self, r, target)
+		e.count(o.first.self, r, target)
 	}
 	h := recordHeader(relay.KindRecord, r)
-	for _, owner := range c.pair() {
+	for _, owner := range [...]*hostRoute{o.first, o.second} {
 		if owner != nil && !owner.self {
 			notices = append(notices, Notice{To: owner.id, Header: h})
 		}
--- a/internal/coordination/traffic/view.go
+++ b/internal/coordination/traffic/view.go
@@ -24,6 +24,8 @@
 type domainRoute struct {
 	id   state.DomainID
 	seed uint64
+	// hosts are all, in the order of the view.
+	hosts []*hostRoute
 	// alive hosts may own new flows; leaving ones answer for their records.
 	alive   []*hostRoute
 	leaving []*hostRoute
@@ -48,6 +50,7 @@
 		}
 		domain := index.addDomain(m.Domain)
 		host := newHostRoute(m, snap)
+		domain.hosts = append(domain.hosts, host)
 		if host.leaving {
 			domain.leaving = append(domain.leaving, host)
 			continue
@@ -104,12 +107,7 @@
 // host returns a host of the view, nil if there is none.
 func (v *viewIndex) host(id state.HostID) *hostRoute {
 	for _, domain := range v.domains {
-		for _, h := range domain.alive {
-			if h.id == id {
-				return h
-			}
-		}
-		for _, h := range domain.leaving {
+		for _, h := range domain.hosts {
 			if h.id == id {
 				return h
 			}
--- a/internal/state/apply_items.go
+++ b/internal/state/apply_items.go
@@ -135,11 +135,19 @@
 			continue
 		}
 		service := b.editable(place.service)
-		service.Targets = slices.DeleteFunc(service.Targets, func(t Target) bool { return t.ID == id })
+		service.retire(id)
 		b.forgetTarget(id)
 	}
 }
 
+// retire moves a target to the retired ones. Service.Targets must be editable.
+func (s *Service) retire(id TargetID) {
+	at := slices.IndexFunc(s.Targets, func(t Target) bool { return t.ID == id })
+	retired := append(slices.Clone(s.Retired), s.Targets[at])
+	s.Retired = retired[max(0, len(retired)-MaxRetired):]
+	s.Targets = slices.Delete(s.Targets, at, at+1)
+}
+
 func (b *builder) addTargets(note *Note) {
 	for _, spec := range note.AddTargets {
 		b.addTarget(note, spec)
--- a/internal/state/lookup/carry.go
+++ b/internal/state/lookup/carry.go
@@ -16,7 +16,7 @@
 // Carry returns the entry of a service under a new release. previous is the
 // entry under the release before, nil for a new service; it is returned itself
 // when the service has not changed. Health and load counters pass on, a
-// withdrawn target stays while flow records name it, and the newest MaxTables
+// withdrawn target stays while it is retired or flow records name it, and the newest MaxTables
 // table versions are retained.
 func Carry(previous *state.ServiceEntry, service state.Service, version state.ReleaseVersion) *state.ServiceEntry {
 	if previous == nil {
@@ -80,7 +80,7 @@
 
 // unchanged reports whether two versions of a service are the same.
 func unchanged(a, b state.Service) bool {
-	targets := slices.Equal(a.Targets, b.Targets)
+	targets := slices.Equal(a.Targets, b.Targets) && slices.Equal(a.Retired, b.Retired)
 	return targets && a.ID == b.ID && a.Number == b.Number && a.Customer == b.Customer &&
 		a.Protocol == b.Protocol && a.Address == b.Address &&
 		a.Way == b.Way && a.IdleTimeout == b.IdleTimeout
@@ -93,28 +93,39 @@
 	})
 }
 
-// carryTargets makes the target entries of a service.
+// carryTargets makes the target entries of a service: its targets, then the
+// retired ones, then those that only flow records still name.
 func carryTargets(previous []*state.TargetEntry, service state.Service) []*state.TargetEntry {
 	known := make(map[state.TargetNumber]*state.TargetEntry, len(previous))
 	for _, old := range previous {
 		known[old.Number] = old
 	}
-	entries := make([]*state.TargetEntry, 0, len(service.Targets))
+	entries := make([]*state.TargetEntry, 0, len(service.Targets)+len(service.Retired))
 	for _, t := range service.Targets {
 		entries = append(entries, carryTarget(known[t.Number], t, service.Number))
 		delete(known, t.Number)
 	}
+	for _, t := range service.Retired {
+		entry := carryTarget(known[t.Number], t, service.Number)
+		entry.Withdrawn = true
+		entries = append(entries, entry)
+		delete(known, t.Number)
+	}
 	for _, old := range previous {
-		if known[old.Number] == nil || old.Load.Records.Load() == 0 {
-			continue
+		if known[old.Number] != nil && old.Load.Records.Load() > 0 {
+			entries = append(entries, withdrawn(old))
 		}
-		withdrawn := *old
-		withdrawn.Withdrawn = true
-		entries = append(entries, &withdrawn)
 	}
 	return entries
 }
 
+// withdrawn returns the entry of a target that the release does not name.
+func withdrawn(old *state.TargetEntry) *state.TargetEntry {
+	entry := *old
+	entry.Withdrawn = true
+	return &entry
+}
+
 // carryTarget makes the entry of one target; old is nil for a new one.
 func carryTarget(old *state.TargetEntry, t state.Target, service state.ServiceNumber) *state.TargetEntry {
 	entry := &state.TargetEntry{Target: t, Service: service, ShareMilli: fullShareMilli}
--- a/internal/state/release.go
+++ b/internal/state/release.go
@@ -64,8 +64,14 @@
 	IdleTimeout time.Duration
 	// Targets are sorted by ID.
 	Targets []Target
+	// Retired are the targets withdrawn last, oldest first, at most MaxRetired.
+	// They get no new flows; every host can still forward flows opened there.
+	Retired []Target
 }
 
+// MaxRetired bounds Service.Retired.
+const MaxRetired = 32
+
 // Release is the complete desired state after a note was accepted. It is
 // immutable; Services and Customers are sorted by ID.
 type Release struct {
