Send packets of uncontested slots straight to their target

Cause: WayOwner relays nearly every packet; most slots give the same target under every retained table.

Change: WayContested forwards mid-flow packets of such slots directly. Openings pass the owners and are placed by the hash alone.

--- a/internal/coordination/traffic/chain.go
+++ b/internal/coordination/traffic/chain.go
@@ -47,6 +47,8 @@
 	// until formerUntil.
 	former      *serviceRoutes
 	formerUntil time.Time
+	// tableSettles is when the newest table is expected on every host.
+	tableSettles time.Time
 }
 
 // newServiceRoutes joins a service's domain weights with a view.
--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -33,6 +33,9 @@
 // place chooses the target of a new flow, preferably in its placing domain;
 // nil and the reason when none may have it.
 func (e *Engine) place(f *flow) (*state.TargetEntry, Reason) {
+	if f.routes.entry.Way == state.WayContested {
+		return e.placeByHash(f)
+	}
 	home := f.routes.placeDomain(f.packet.Fingerprint)
 	if home != nil {
 		if target := e.placeIn(f, home.id); target != nil {
@@ -67,7 +70,7 @@
 func (e *Engine) placeIn(f *flow, domain state.DomainID) *state.TargetEntry {
 	switch e.settings.Placement {
 	case PlaceHash:
-		return e.firstInSequence(f, domain, e.hasRoom)
+		return e.firstInSequence(f, domain, nil)
 	case PlaceTwoChoices:
 		return e.lesserOfTwo(f, domain)
 	default:
@@ -79,10 +82,7 @@
 // bound, or else the least loaded.
 func (e *Engine) bounded(f *flow, domain state.DomainID) *state.TargetEntry {
 	group := e.sum(f.routes.entry, domain)
-	below := func(f *flow, t *state.TargetEntry) bool {
-		return e.hasRoom(f, t) && load(t) < group.bound(t, e.settings.BoundMilli)
-	}
-	if target := e.firstInSequence(f, domain, below); target != nil {
+	if target := e.firstInSequence(f, domain, &group); target != nil {
 		return target
 	}
 	return e.leastLoaded(f, domain)
@@ -130,9 +130,12 @@
 // hasRoom reports whether a target may have a new flow within this owner's part
 // of its connection limit.
 func (e *Engine) hasRoom(f *flow, t *state.TargetEntry) bool {
-	if !usable(t) {
-		return false
-	}
+	return usable(t) && e.belowLimit(f, t)
+}
+
+// belowLimit reports whether a target is below this owner's part of its
+// connection limit.
+func (e *Engine) belowLimit(f *flow, t *state.TargetEntry) bool {
 	if t.Connections == 0 {
 		return true
 	}
@@ -149,12 +152,15 @@
 }
 
 // firstInSequence returns the first target of the hash's sequence in a domain
-// that is accepted; nil if none is.
-func (e *Engine) firstInSequence(f *flow, domain state.DomainID, accept func(*flow, *state.TargetEntry) bool) *state.TargetEntry {
+// that has room and, unless group is nil, is below its bound; nil if none is.
+func (e *Engine) firstInSequence(f *flow, domain state.DomainID, group *groupLoad) *state.TargetEntry {
 	table := f.routes.entry.Tables[0]
 	for i := uint64(0); i < maxProbes; i++ {
 		t := e.snap.Targets[table.Lookup(probe(f.packet.Fingerprint, i))]
-		if t != nil && inDomain(t, domain) && accept(f, t) {
+		if t == nil || !inDomain(t, domain) || !e.hasRoom(f, t) {
+			continue
+		}
+		if group == nil || load(t) < group.bound(t, e.settings.BoundMilli) {
 			return t
 		}
 	}
@@ -172,6 +178,9 @@
 // hashTarget returns the target that a table alone gives a flow; nil if the
 // table is empty.
 func (e *Engine) hashTarget(f *flow, table *state.LookupTable) *state.TargetEntry {
+	if f.routes.entry.Way == state.WayContested {
+		return e.snap.Targets[table.Lookup(f.packet.Fingerprint.Low)]
+	}
 	home := f.routes.placeDomain(f.packet.Fingerprint)
 	var any *state.TargetEntry
 	for i := uint64(0); i < maxProbes; i++ {
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -47,6 +47,9 @@
 
 	// ReasonFallback forwards without a record to the base table's target.
 	ReasonFallback
+	// ReasonBase forwards a flow without a record that is older than every
+	// record: to the base table's target, under WayContested.
+	ReasonBase
 	// ReasonNoCopy forwards an opening that only one host could record.
 	ReasonNoCopy
 	// ReasonSilentFlow resets: only retransmissions without progress.
@@ -77,6 +80,7 @@
 	ReasonToPrevious:      "to_previous",
 	ReasonSearch:          "search",
 	ReasonFallback:        "fallback",
+	ReasonBase:            "base",
 	ReasonNoCopy:          "no_copy",
 	ReasonSilentFlow:      "silent_flow",
 }
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -78,6 +78,9 @@
 // search passes a packet without a record on to the next host that may have it.
 // The last one falls back to the base table.
 func (e *Engine) search(f *flow) Decision {
+	if e.belongsToBase(f) {
+		return e.byBase(f)
+	}
 	hops, position := uint8(0), 0
 	if f.packet.Relayed {
 		hops = f.packet.Relay.Hops
--- a/internal/coordination/traffic/second.go
+++ b/internal/coordination/traffic/second.go
@@ -35,7 +35,7 @@
 	if v.verdict == relay.VerdictRefuse && !e.settled(f.owners.home) {
 		return drop(ReasonUnsettled)
 	}
-	if v.has(headerFresh) && e.isLeaving(v.target) {
+	if v.has(headerFresh) && e.isLeaving(v.target) && f.routes.entry.Way == state.WayOwner {
 		return e.overrule(f)
 	}
 	r := e.keep(f, v)
