Play every fault at every step of a release

Cause: the promises about releases need proof under faults, not by example. Change: a fault matrix in virtual time joins seven cores in three domains by a fake link and a fake platform; 18 faults and 15 pairs begin at each of 7 steps, for 2 s and for 20 s. The promises are checked after every step of every host and at the end. Entries now come from package lookup. Four variants that each break one rule are caught: acceptance without all domains, a falling version, refusal and acceptance in two objects, and an unconditional update of the head.

--- /dev/null
+++ b/internal/coordination/control/matrix_test.go
@@ -0,0 +1,265 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/release"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	matrixSeeds = flag.Int("matrix.seeds", 1, "seeds for each cell of the fault matrix")
+	matrixFirst = flag.Uint64("matrix.first", 1, "first seed of the fault matrix")
+)
+
+// cell is one run: a fault that begins at a step of the release of note
+// "second", at the host that plays a role in it.
+type cell struct {
+	step   string
+	faults []fault
+	role   string
+	length time.Duration
+	seed   uint64
+
+	w      *world
+	driver *node
+	victim *node
+	begun  bool
+	healed time.Time
+}
+
+func (c *cell) String() string {
+	names := make([]string, 0, len(c.faults))
+	for _, f := range c.faults {
+		names = append(names, f.name)
+	}
+	return fmt.Sprintf("%s at %q, role %s, %s, seed %d", strings.Join(names, " and "), c.step, c.role, c.length, c.seed)
+}
+
+// steps are the state changes of a release; a fault begins at the first sign.
+var steps = []string{
+	"quiet", "driver begins", "follower stages", "acceptance sent", "acceptance answered", "first in force", "in force reported",
+}
+
+// arm watches for the step and begins the fault there.
+func (c *cell) arm() {
+	w := c.w
+	w.onCall = func(n *node, call objects.Call) {
+		staging := strings.HasPrefix(call.Key, objects.PrefixStaged+"second/")
+		if staging && call.Verb == objects.VerbList && c.driver == nil {
+			c.driver = n
+			c.reach("driver begins")
+		}
+		if c.driver == nil || call.Verb != objects.VerbPut {
+			return
+		}
+		other := n.host.Domain != c.driver.host.Domain
+		switch {
+		case staging && other:
+			c.reach("follower stages")
+		case call.Key == objects.KeyHead:
+			c.reach("acceptance sent")
+		case strings.HasPrefix(call.Key, objects.PrefixInForce) && other:
+			c.reach("in force reported")
+		}
+	}
+	w.onAnswer = func(n *node, call objects.Call, _ objects.Outcome) {
+		if n == c.driver && call.Verb == objects.VerbPut && call.Key == objects.KeyHead {
+			c.reach("acceptance answered")
+		}
+	}
+	w.promises.onForce = func(n *node, version state.ReleaseVersion) {
+		if version == 2 && n != c.driver && c.driver != nil {
+			c.reach("first in force")
+		}
+	}
+}
+
+// reach begins the fault if its step has come.
+func (c *cell) reach(step string) {
+	if c.begun || step != c.step {
+		return
+	}
+	c.begun = true
+	c.victim = c.pick()
+	c.healed = c.w.now.Add(c.length)
+	for _, f := range c.faults {
+		f.begin(c)
+	}
+	c.w.at(c.healed, func() {
+		for _, f := range c.faults {
+			if f.end != nil {
+				f.end(c)
+			}
+		}
+	})
+}
+
+// pick returns the host that plays the role: the driver itself, or one of
+// another domain that watches or does not watch the platform.
+func (c *cell) pick() *node {
+	if c.driver == nil {
+		c.driver = c.w.nodes[0]
+	}
+	if c.role == "driver" {
+		return c.driver
+	}
+	for _, n := range c.w.nodes {
+		watching := n.core.release.Watching(c.w.now)
+		wanted := n.host.Domain != c.driver.host.Domain || !watching
+		if n != c.driver && wanted && watching == (c.role == "aggregator") {
+			return n
+		}
+	}
+	return c.w.nodes[len(c.w.nodes)-1]
+}
+
+// run plays the cell and returns what was broken.
+func (c *cell) run(t *testing.T, variant release.Variant) []string {
+	c.w = settled(t, c.seed, release.VariantSound, 3, 2, 2)
+	for _, n := range c.w.nodes {
+		n.core.release.SetVariant(variant)
+	}
+	c.w.variant = variant
+	c.arm()
+	c.reach("quiet")
+	c.w.promises.unready = c.mayBeUnready
+	c.w.store.submit(nextNote("second", 1))
+	c.w.run(25*time.Second + c.length)
+	c.checkDecided()
+	c.checkInForce()
+	c.checkNext()
+	return c.w.promises.broken
+}
+
+// checkDecided checks that the note has one fate, known to every host.
+func (c *cell) checkDecided() {
+	if !c.begun {
+		c.w.promises.fail("the step was not reached")
+	}
+	if _, ok := c.w.promises.decided["second"]; !ok {
+		c.w.promises.fail("note second is still undecided")
+	}
+}
+
+// checkInForce checks how soon the accepted note was in force on each host.
+func (c *cell) checkInForce() {
+	p := &c.w.promises
+	accepted, ok := p.at[2]
+	if !ok {
+		return
+	}
+	for _, n := range c.w.nodes {
+		if !n.alive {
+			continue
+		}
+		from := accepted
+		if c.healed.After(from) && c.excused(n) {
+			from = c.healed
+		}
+		if n.booted.After(from) {
+			from = n.booted
+		}
+		reached, ok := p.reached[n.host.ID]
+		if !ok || reached.Sub(from) > catchUp {
+			p.fail("%s had release 2 in force %s after acceptance or return (reached %t)", n.host.ID, reached.Sub(from), ok)
+		}
+	}
+}
+
+// checkNext checks that the system still makes releases.
+func (c *cell) checkNext() {
+	head, _ := c.w.store.head()
+	c.w.store.submit(nextNote("last", head.Version))
+	done := c.w.until(10*time.Second, func() bool { return c.w.inForce(head.Version + 1) })
+	if !done {
+		c.w.promises.fail("the next note is not in force")
+	}
+	c.w.run(time.Second)
+}
+
+func (c *cell) excused(n *node) bool {
+	for _, f := range c.faults {
+		if f.excuses != nil && f.excuses(c, n) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBeUnready tells whether a host that was ready may stop admitting flows.
+func (c *cell) mayBeUnready(n *node) bool { return c.begun && c.excused(n) }
+
+func matrixCells(seeds int, first uint64) []*cell {
+	var cells []*cell
+	for seed := first; seed < first+uint64(seeds); seed++ {
+		for _, step := range steps {
+			for _, length := range []time.Duration{2 * time.Second, 20 * time.Second} {
+				for _, f := range faults {
+					for _, role := range f.roles() {
+						cells = append(cells, &cell{step: step, faults: []fault{f}, role: role, length: length, seed: seed})
+					}
+				}
+				for _, pair := range faultPairs() {
+					cells = append(cells, &cell{step: step, faults: pair, role: "driver", length: length, seed: seed})
+				}
+			}
+		}
+	}
+	return cells
+}
+
+// TestFaultMatrix begins every fault, and chosen pairs, at every step of a
+// release and checks the promises all along and afterwards.
+func TestFaultMatrix(t *testing.T) {
+	cells := matrixCells(*matrixSeeds, *matrixFirst)
+	failures := runCells(t, cells, release.VariantSound)
+	t.Logf("cells %d, steps %d, faults %d, pairs %d, seeds %d from %d, failures %d",
+		len(cells), len(steps), len(faults), len(faultPairs()), *matrixSeeds, *matrixFirst, len(failures))
+	for _, failure := range failures {
+		t.Error(failure)
+	}
+}
+
+// TestMatrixCatchesBrokenVariants shows that the checks notice a machine that
+// breaks one rule.
+func TestMatrixCatchesBrokenVariants(t *testing.T) {
+	for name, variant := range map[string]release.Variant{
+		"accepts without all domains":          release.VariantAnyDomain,
+		"lets the version fall":                release.VariantVersionFalls,
+		"accepts and refuses in two objects":   release.VariantTwoObjects,
+		"accepts what a replaced head refused": release.VariantUnconditional,
+	} {
+		t.Run(name, func(t *testing.T) {
+			cells := matrixCells(1, 1)
+			var failures []string
+			played := 0
+			for len(failures) == 0 && played < len(cells) {
+				batch := cells[played:min(played+matrixWorkers, len(cells))]
+				failures = runCells(t, batch, variant)
+				played += len(batch)
+			}
+			require.NotEmpty(t, failures, "cells played: %d", played)
+			t.Logf("caught within %d cells: %s", played, failures[0])
+		})
+	}
+}
+
+func runCells(t *testing.T, cells []*cell, variant release.Variant) []string {
+	results := make([][]string, len(cells))
+	parallel(len(cells), func(i int) { results[i] = cells[i].run(t, variant) })
+	var failures []string
+	for i, broken := range results {
+		if len(broken) > 0 {
+			failures = append(failures, cells[i].String()+": "+strings.Join(broken, "; "))
+		}
+		cells[i].w = nil
+	}
+	return failures
+}
--- a/internal/coordination/control/promises_test.go
+++ b/internal/coordination/control/promises_test.go
@@ -22,6 +22,13 @@
 	// shown is the newest version that each run of a host had in force.
 	shown  map[string]state.ReleaseVersion
 	broken []string
+	// reached is when each host, in its present run, got release 2 or newer.
+	reached map[state.HostID]time.Time
+	onForce func(n *node, version state.ReleaseVersion)
+	// unready tells whether a host that was ready may stop admitting flows; nil
+	// checks nothing.
+	unready func(n *node) bool
+	ready   map[string]bool
 }
 
 func newPromises(w *world) promises {
@@ -33,6 +40,8 @@
 		notes:    make(map[state.NoteID]objects.Note),
 		staged:   make(map[string]objects.Staged),
 		shown:    make(map[string]state.ReleaseVersion),
+		reached:  make(map[state.HostID]time.Time),
+		ready:    make(map[string]bool),
 	}
 }
 
@@ -113,6 +122,11 @@
 	if n.snapshot.Ready && n.snapshot.Version == 0 {
 		p.fail("%s is ready without a release", n.host.ID)
 	}
+	run := fmt.Sprintf("%s run %d", n.host.ID, n.run)
+	if p.ready[run] && !n.snapshot.Ready && p.unready != nil && !p.unready(n) {
+		p.fail("%s stopped admitting flows", run)
+	}
+	p.ready[run] = n.snapshot.Ready
 }
 
 // stepped checks what is in force on a host after each step.
@@ -129,6 +143,12 @@
 	if release.Version < p.shown[run] {
 		p.fail("%s fell from release %d to %d", run, p.shown[run], release.Version)
 	}
+	if release.Version > p.shown[run] && p.onForce != nil {
+		p.onForce(n, release.Version)
+	}
+	if _, ok := p.reached[n.host.ID]; !ok && release.Version >= 2 {
+		p.reached[n.host.ID] = p.w.now
+	}
 	p.shown[run] = max(p.shown[run], release.Version)
 }
 
--- a/internal/coordination/control/publish.go
+++ b/internal/coordination/control/publish.go
@@ -7,6 +7,7 @@
 
 	"github.com/guavawharf/guavawharf/internal/coordination/listing"
 	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/lookup"
 )
 
 // publishInput is what a snapshot is made of besides health.
@@ -75,7 +76,7 @@
 	present := make(map[state.ServiceID]bool, len(release.Services))
 	for _, service := range release.Services {
 		present[service.ID] = true
-		p.entries[service.ID] = carry(p.entries[service.ID], service, release.Version)
+		p.entries[service.ID] = lookup.Carry(p.entries[service.ID], service, release.Version)
 	}
 	for id, entry := range p.entries {
 		if present[id] {
@@ -83,7 +84,7 @@
 		}
 		withdrawn := entry.Service
 		withdrawn.Targets = nil
-		next := carry(entry, withdrawn, release.Version)
+		next := lookup.Carry(entry, withdrawn, release.Version)
 		if len(next.Entries) == 0 {
 			delete(p.entries, id)
 			continue
--- a/internal/coordination/control/world_test.go
+++ b/internal/coordination/control/world_test.go
@@ -48,6 +48,7 @@
 	stopped  bool
 	queue    []func()
 	snapshot *state.Snapshot
+	booted   time.Time
 	draining map[state.TargetID]time.Time
 }
 
@@ -102,6 +103,8 @@
 		}
 	}
 	n.run++
+	n.booted = w.now
+	delete(w.promises.reached, n.host.ID)
 	n.alive, n.paused, n.stopped, n.queue, n.snapshot = true, false, false, nil, nil
 	n.draining = make(map[state.TargetID]time.Time)
 	settings := Settings{Self: n.host, Incarnation: n.run, Peers: peers, ReleaseVariant: w.variant}
--- a/internal/coordination/release/drive.go
+++ b/internal/coordination/release/drive.go
@@ -19,7 +19,8 @@
 	revision uint64
 	// deciding is true while an update of the head is on its way.
 	deciding bool
-	apart    bool
+	// sent is the last head sent.
+	sent objects.Head
 	// parts holds the keys of checkpoint parts that are stored.
 	parts map[string]bool
 }
@@ -33,10 +34,11 @@
 
 // reset starts anew for another pending note.
 func (d *drive) reset(now time.Time) {
-	deciding := d.deciding
+	deciding, sent := d.deciding, d.sent
 	*d = newDrive()
 	d.since = now
 	d.deciding = deciding
+	d.sent = sent
 }
 
 // answered tells that the update of the head came back.
@@ -136,8 +138,7 @@
 
 // refuse records the pending note as refused.
 func (m *Machine) refuse(now time.Time, reason string) {
-	if m.settings.Variant == VariantTwoObjects && !m.drive.apart {
-		m.drive.apart = true
+	if m.settings.Variant == VariantTwoObjects {
 		m.call(now, objects.Call{
 			Verb:  objects.VerbPut,
 			Key:   keyRefusedApart + string(m.head.Pending.Note.ID),
@@ -150,6 +151,7 @@
 
 // updateHead writes the next head on condition that nobody else has.
 func (m *Machine) updateHead(now time.Time, next objects.Head) {
+	m.drive.sent = next
 	m.drive.deciding = m.call(now, objects.Call{
 		Verb: objects.VerbPut, Key: objects.KeyHead, Version: m.headRead, Value: encode(next),
 	})
--- a/internal/coordination/release/notes.go
+++ b/internal/coordination/release/notes.go
@@ -146,7 +146,9 @@
 		content.Note = m.notes.find(ask.Note)
 	}
 	if m.Version() > ask.Have {
-		content.Accepted = m.notes.after(ask.Have, m.Version())
+		if ask.Have > 0 {
+			content.Accepted = m.notes.after(ask.Have, m.Version())
+		}
 		if content.Accepted == nil {
 			content.Release = m.current
 		}
@@ -166,6 +168,9 @@
 	if content.Release != nil {
 		m.install(now, content.Release)
 	}
+	if m.settings.Variant == VariantVersionFalls && m.Version() < before {
+		return
+	}
 	m.advance(now)
 	m.stage(now)
 	if changed || m.Version() != before {
--- a/internal/coordination/release/variant.go
+++ b/internal/coordination/release/variant.go
@@ -14,7 +14,12 @@
 	VariantVersionFalls
 	// VariantTwoObjects refuses in an object of its own, apart from the head.
 	VariantTwoObjects
+	// VariantUnconditional updates the head whatever it has become since.
+	VariantUnconditional
 )
 
 // keyRefusedApart precedes the note id in VariantTwoObjects.
 const keyRefusedApart = "release/refused/"
+
+// SetVariant makes a running machine break a rule, or none.
+func (m *Machine) SetVariant(variant Variant) { m.settings.Variant = variant }
