--- a/cmd/guava-standin/callers.go
+++ b/cmd/guava-standin/callers.go
@@ -46,14 +46,15 @@
 		return exitFailed
 	}
 	var counts []upstream.Counts
+	failed := exitOK
 	if s.Upstreams != "" {
 		counts, err = summary.FetchCounts(s.Upstreams)
 		if err != nil {
 			log.Error("callers.counts_failed", "error", err)
-			return exitFailed
+			failed = exitFailed
 		}
 	}
-	return v.print(summary.New(report, counts, s.Changed), log)
+	return max(failed, v.print(summary.New(report, counts, s.Changed), log))
 }
 
 func (v *callersVerb) print(s summary.Summary, log *slog.Logger) int {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,6 +22,7 @@
 
 dir=$(mktemp -d)
 pids=()
+names=()
 failed=1
 
 stop_all() {
@@ -45,6 +46,7 @@
 	shift
 	"$@" >"$dir/$name.log" 2>&1 &
 	pids+=("$!")
+	names+=("$name")
 }
 
 # await WHAT COMMAND... polls until the command succeeds.
@@ -292,17 +294,25 @@
 ./bin/guava-standin callers --config "$dir/callers.toml" >"$dir/summary.txt" 2>"$dir/callers.log" &
 callers=$!
 pids+=("$callers")
+names+=(callers)
 
 sleep 12
 second_note >"$dir/demo-2.toml"
 echo "demo: applying the second release note under load: feed-15 added, feed-2 withdrawn"
-./bin/guavactl apply "$dir/demo-2.toml" --platform "$platform" --wait 30s
+applied=0
+./bin/guavactl apply "$dir/demo-2.toml" --platform "$platform" --wait 20s || applied=$?
 
 status=0
 wait "$callers" || status=$?
 cat "$dir/summary.txt"
 ./bin/guavactl status --platform "$platform"
-if [ "$status" -ne 0 ]; then
+for index in "${!pids[@]}"; do
+	if ! kill -0 "${pids[index]}" 2>/dev/null && [ "${pids[index]}" != "$callers" ]; then
+		echo "demo: a process ended early: ${names[index]}"
+		status=1
+	fi
+done
+if [ "$status" -ne 0 ] || [ "$applied" -ne 0 ]; then
 	cat "$dir/callers.log"
 	echo "demo: FAILED"
 	exit 1
