Let the stand-in fabric follow the platform's list of hosts

The demo could not stop an entry host under load, since the fabric went on spraying packets at it. The TCP endpoint held nothing back that came before its turn, so that jitter alone cost a timeout; it now keeps such segments and repeats only the oldest one after three duplicate acknowledgments.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 demo: build
-	./bin/guava-standin demo
+	./scripts/demo.sh
 
 test:
 	$(GO) test ./...
--- /dev/null
+++ b/cmd/guava-standin/hosts.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/guavawharf/guavawharf/internal/standin/objectapi"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// hostsVerb replaces the platform's list of entry hosts.
+type hostsVerb struct {
+	platform string
+	file     string
+}
+
+func newHostsVerb() *hostsVerb {
+	return &hostsVerb{platform: "http://127.0.0.1:7900", file: "hosts.json"}
+}
+
+func (v *hostsVerb) subcommand() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("hosts")
+	sc.Description = "Replace the platform's list of entry hosts."
+	sc.AdditionalHelpAppend = "Example: guava-standin hosts --platform http://127.0.0.1:7900 --file hosts.json"
+	sc.String(&v.platform, "p", "platform", "base URL of the platform")
+	sc.String(&v.file, "f", "file", "JSON file with the list")
+	return sc
+}
+
+func (v *hostsVerb) run(ctx context.Context, log *slog.Logger) int {
+	list, err := readHosts(v.file)
+	if err != nil {
+		log.Error("hosts.file_refused", "error", err)
+		return exitUsage
+	}
+	client := objectapi.New(v.platform)
+	current, err := client.Get(ctx, objects.KeyHosts)
+	if err == nil {
+		err = client.Put(ctx, objects.KeyHosts, current.Version, list)
+	}
+	if err != nil {
+		log.Error("hosts.put_failed", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- a/cmd/guava-standin/platform.go
+++ b/cmd/guava-standin/platform.go
@@ -67,14 +67,20 @@
 	if v.hosts == "" {
 		return nil
 	}
-	content, err := os.ReadFile(v.hosts)
+	list, err := readHosts(v.hosts)
 	if err != nil {
 		return err
 	}
-	var list objects.HostList
-	if err := json.Unmarshal(content, &list); err != nil {
-		return err
-	}
 	_, err = server.Put(objects.KeyHosts, list)
 	return err
 }
+
+// readHosts reads a list of entry hosts from a JSON file.
+func readHosts(path string) (objects.HostList, error) {
+	var list objects.HostList
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return list, err
+	}
+	return list, json.Unmarshal(content, &list)
+}
--- a/internal/standin/callers/fabric.go
+++ b/internal/standin/callers/fabric.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -20,7 +21,7 @@
 // back. Loss, delay and the choice of host are up to the workers.
 type fabric struct {
 	socket   *net.UDPConn
-	hosts    []netip.AddrPort
+	hosts    atomic.Pointer[[]netip.AddrPort]
 	sent     atomic.Int64
 	lost     atomic.Int64
 	received atomic.Int64
@@ -36,13 +37,17 @@
 		_ = socket.Close()
 		return nil, err
 	}
-	return &fabric{socket: socket, hosts: hosts}, nil
+	f := &fabric{socket: socket}
+	f.hosts.Store(&hosts)
+	return f, nil
 }
 
-func (f *fabric) send(host int, data []byte) {
+// send passes the packet to a random entry host.
+func (f *fabric) send(random *rand.Rand, data []byte) {
 	f.sent.Add(1)
+	hosts := *f.hosts.Load()
 	// A failed write is a lost packet; the endpoints retransmit.
-	_, _ = f.socket.WriteToUDPAddrPort(data, f.hosts[host])
+	_, _ = f.socket.WriteToUDPAddrPort(data, hosts[random.IntN(len(hosts))])
 }
 
 // read passes each answer to its worker's inbox until the socket is closed.
--- a/internal/standin/callers/options.go
+++ b/internal/standin/callers/options.go
@@ -17,7 +17,11 @@
 	// Hosts are the entry hosts' packet addresses; each packet goes to a random
 	// one of them.
 	Hosts []netip.AddrPort
-	Seed  uint64
+	// Platform is the base URL of the platform's object service. If it is given,
+	// its list of hosts replaces Hosts whenever it changes; leaving ones get no
+	// packets.
+	Platform string
+	Seed     uint64
 	// Loss is the probability that the fabric loses a packet, each way.
 	Loss float64
 	// Delay is the least time a packet takes each way, Jitter is added at random.
--- a/internal/standin/callers/run.go
+++ b/internal/standin/callers/run.go
@@ -28,6 +28,9 @@
 	began := time.Now()
 	workers := newWorkers(&options, f)
 	go f.read(workers)
+	if options.Platform != "" {
+		go f.follow(ctx, options.Platform)
+	}
 	runAll(ctx, workers)
 	report := gather(&options, workers)
 	report.Sent = f.sent.Load()
--- a/internal/standin/callers/worker.go
+++ b/internal/standin/callers/worker.go
@@ -133,7 +133,7 @@
 		if t.inbound {
 			w.receive(now, t.data)
 		} else {
-			w.fabric.send(w.random.IntN(len(w.options.Hosts)), t.data)
+			w.fabric.send(w.random, t.data)
 		}
 	}
 	if now.Sub(w.lastFlows) < flowInterval {
--- /dev/null
+++ b/internal/standin/objectapi/client.go
@@ -0,0 +1,80 @@
+// Package objectapi is a plain HTTP client of the platform's object service for
+// the stand-ins. It neither retries nor limits its calls.
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/platformapi"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Client calls one platform.
+type Client struct {
+	base string
+	http http.Client
+}
+
+// margin is how long an answer may take beyond the wait of a watch.
+const margin = 2 * time.Second
+
+// New returns a client of the platform with the base URL.
+func New(base string) *Client { return &Client{base: base} }
+
+// Get returns an object; its version is 0 if there is none.
+func (c *Client) Get(ctx context.Context, key string) (objects.Object, error) {
+	var object objects.Object
+	err := c.call(ctx, http.MethodGet, platformapi.PathObjects+"/"+key, nil, margin, &object)
+	return object, err
+}
+
+// Put writes the value if the object's version is the given one.
+func (c *Client) Put(ctx context.Context, key string, version uint64, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	path := fmt.Sprintf("%s/%s?version=%d", platformapi.PathObjects, key, version)
+	return c.call(ctx, http.MethodPut, path, body, margin, nil)
+}
+
+// Watch returns the objects under the prefix that changed after the revision,
+// or an empty page once the wait is over.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (objects.Page, error) {
+	var page objects.Page
+	path := fmt.Sprintf("%s?prefix=%s&after=%d&wait=%g",
+		platformapi.PathWatch, url.QueryEscape(prefix), after, wait.Seconds())
+	err := c.call(ctx, http.MethodGet, path, nil, wait+margin, &page)
+	return page, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, limit time.Duration, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch {
+	case response.StatusCode == http.StatusNotFound && method == http.MethodGet:
+		return nil
+	case response.StatusCode != http.StatusOK:
+		return fmt.Errorf("%s %s: status %d", method, path, response.StatusCode)
+	case answer == nil:
+		_, err = io.Copy(io.Discard, response.Body)
+		return err
+	}
+	return json.NewDecoder(response.Body).Decode(answer)
+}
--- a/internal/standin/settings/callers.go
+++ b/internal/standin/settings/callers.go
@@ -24,6 +24,7 @@
 type callersFile struct {
 	Listen    netip.AddrPort   `toml:"listen"`
 	Hosts     []netip.AddrPort `toml:"hosts"`
+	Platform  string           `toml:"platform"`
 	Upstreams string           `toml:"upstreams"`
 	Changed   []state.TargetID `toml:"changed_targets"`
 	Seed      uint64           `toml:"seed"`
@@ -56,14 +57,15 @@
 	}
 	c := Callers{Upstreams: file.Upstreams, Changed: file.Changed}
 	c.Options = callers.Options{
-		Listen:  file.Listen,
-		Hosts:   file.Hosts,
-		Seed:    file.Seed,
-		Loss:    file.Loss,
-		Delay:   time.Duration(file.Delay),
-		Jitter:  time.Duration(file.Jitter),
-		Workers: file.Workers,
-		Limit:   time.Duration(file.Limit),
+		Listen:   file.Listen,
+		Hosts:    file.Hosts,
+		Platform: file.Platform,
+		Seed:     file.Seed,
+		Loss:     file.Loss,
+		Delay:    time.Duration(file.Delay),
+		Jitter:   time.Duration(file.Jitter),
+		Workers:  file.Workers,
+		Limit:    time.Duration(file.Limit),
 	}
 	errs := []error{need(file.Listen, "listen")}
 	for _, entry := range file.Groups {
--- a/internal/standin/stream/conn.go
+++ b/internal/standin/stream/conn.go
@@ -1,5 +1,5 @@
 // Package stream is a small TCP endpoint for the stand-ins: a pure state
-// machine with in-order delivery, a fixed window, retransmission with
+// machine with delivery in order, a fixed window, retransmission with
 // exponential backoff and an orderly close. It does no I/O; time is passed in.
 package stream
 
@@ -40,7 +40,7 @@
 	maxTimeout     = 3 * time.Second
 	// maxAttempts is the number of timeouts in a row that ends a connection.
 	maxAttempts = 9
-	// duplicateAcks starts a retransmission before the timeout.
+	// duplicateAcks in a row start a retransmission before the timeout.
 	duplicateAcks = 3
 )
 
@@ -65,6 +65,9 @@
 	// expected is the next sequence number of the peer.
 	expected uint32
 
+	// held are segments that came before their turn, by sequence number.
+	held map[uint32]Segment
+
 	opened, finQueued, finAcked, finReceived bool
 
 	timeout    time.Duration
--- a/internal/standin/stream/receive.go
+++ b/internal/standin/stream/receive.go
@@ -6,8 +6,7 @@
 	"github.com/guavawharf/guavawharf/internal/standin/wire"
 )
 
-// Receive takes a segment of the peer and returns the new data in order; it
-// aliases the segment's payload.
+// Receive takes a segment of the peer and returns the new data in order.
 func (c *Conn) Receive(now time.Time, s Segment) []byte {
 	switch {
 	case c.state.Ended():
@@ -28,7 +27,7 @@
 	if c.state.Ended() {
 		return nil
 	}
-	return c.receiveData(now, s)
+	return c.receiveData(s)
 }
 
 // receiveEnded answers a retransmitted FIN, whose acknowledgment was lost.
@@ -123,28 +122,59 @@
 func (c *Conn) duplicate(now time.Time) {
 	c.duplicates++
 	if c.duplicates == duplicateAcks {
-		c.retransmit(now)
+		c.resendFirst(now)
 	}
 }
 
-// receiveData takes data and FIN when they are the next in order.
-func (c *Conn) receiveData(now time.Time, s Segment) []byte {
-	fin := s.Flags.Has(wire.FIN)
-	if len(s.Payload) == 0 && !fin {
+// receiveData returns the data that is next in order and holds back what comes
+// before its turn.
+func (c *Conn) receiveData(s Segment) []byte {
+	if len(s.Payload) == 0 && !s.Flags.Has(wire.FIN) {
 		return nil
 	}
-	if c.state != Open || s.Seq != c.expected || c.finReceived {
+	if c.state != Open || c.finReceived || before(s.Seq, c.expected) {
 		c.acknowledge()
 		return nil
 	}
+	if s.Seq != c.expected {
+		c.hold(s)
+		c.acknowledge()
+		return nil
+	}
+	data := c.deliver(nil, s)
+	for !c.finReceived {
+		next, ok := c.held[c.expected]
+		if !ok {
+			break
+		}
+		delete(c.held, c.expected)
+		data = c.deliver(data, next)
+	}
+	c.acknowledge()
+	c.closeIfDone()
+	return data
+}
+
+// hold keeps a copy of a segment within the window.
+func (c *Conn) hold(s Segment) {
+	if !before(s.Seq, c.expected+window) {
+		return
+	}
+	if c.held == nil {
+		c.held = make(map[uint32]Segment)
+	}
+	s.Payload = append([]byte(nil), s.Payload...)
+	c.held[s.Seq] = s
+}
+
+func (c *Conn) deliver(data []byte, s Segment) []byte {
 	c.expected += uint32(len(s.Payload))
-	if fin {
+	if s.Flags.Has(wire.FIN) {
 		c.expected++
 		c.finReceived = true
+		c.held = nil
 	}
-	c.acknowledge()
-	c.closeIfDone()
-	return s.Payload
+	return append(data, s.Payload...)
 }
 
 func (c *Conn) closeIfDone() {
--- a/internal/standin/stream/send.go
+++ b/internal/standin/stream/send.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// resendFirst repeats the oldest unacknowledged segment.
+func (c *Conn) resendFirst(now time.Time) {
+	c.Retransmits++
+	c.deadline = now.Add(c.timeout)
+	end := min(wire.MaxPayload, len(c.buffer), int(c.next-c.una))
+	if end > 0 {
+		c.emit(wire.ACK|wire.PSH, c.una, c.buffer[:end])
+	}
+}
+
 // advance moves next and starts the retransmission timer.
 func (c *Conn) advance(now time.Time, next uint32) {
 	c.next = next
--- a/internal/standin/upstream/reporter.go
+++ b/internal/standin/upstream/reporter.go
@@ -1,15 +1,12 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"log/slog"
-	"net/http"
 	"time"
 
-	"github.com/guavawharf/guavawharf/internal/protocol/platformapi"
+	"github.com/guavawharf/guavawharf/internal/standin/objectapi"
 	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
@@ -29,7 +26,7 @@
 	options ReporterOptions
 	fleet   *Fleet
 	log     *slog.Logger
-	client  *http.Client
+	client  *objectapi.Client
 	pending []report
 }
 
@@ -38,15 +35,13 @@
 	loads []objects.TargetLoad
 }
 
-const reportTimeout = 2 * time.Second
-
 // NewReporter returns a Reporter of the fleet; Run starts it.
 func NewReporter(fleet *Fleet, options ReporterOptions, log *slog.Logger) *Reporter {
 	return &Reporter{
 		options: options,
 		fleet:   fleet,
 		log:     log,
-		client:  &http.Client{Timeout: reportTimeout},
+		client:  objectapi.New(options.Platform),
 	}
 }
 
@@ -84,7 +79,7 @@
 }
 
 func (r *Reporter) write(ctx context.Context, loads []objects.TargetLoad) error {
-	current, err := r.read(ctx)
+	current, err := r.client.Get(ctx, objects.KeyLoads)
 	if err != nil {
 		return err
 	}
@@ -95,39 +90,7 @@
 		}
 	}
 	list.Loads = merge(list.Loads, loads)
-	body, err := json.Marshal(list)
-	if err != nil {
-		return err
-	}
-	url := fmt.Sprintf("%s%s/%s?version=%d", r.options.Platform, platformapi.PathObjects, objects.KeyLoads, current.Version)
-	_, err = r.call(ctx, http.MethodPut, url, body)
-	return err
-}
-
-// read returns the stored list; version 0 means there is none yet.
-func (r *Reporter) read(ctx context.Context) (objects.Object, error) {
-	url := r.options.Platform + platformapi.PathObjects + "/" + objects.KeyLoads
-	return r.call(ctx, http.MethodGet, url, nil)
-}
-
-func (r *Reporter) call(ctx context.Context, method, url string, body []byte) (objects.Object, error) {
-	var object objects.Object
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return object, err
-	}
-	response, err := r.client.Do(request)
-	if err != nil {
-		return object, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	switch response.StatusCode {
-	case http.StatusOK:
-		return object, json.NewDecoder(response.Body).Decode(&object)
-	case http.StatusNotFound:
-		return object, nil
-	}
-	return object, fmt.Errorf("%s %s: status %d", method, url, response.StatusCode)
+	return r.client.Put(ctx, objects.KeyLoads, current.Version, list)
 }
 
 // merge replaces the entries of the reported targets.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,6 +5,11 @@
 # non-zero if a flow broke, a packet reached a wrong service or a request ran
 # twice. Settings and logs go to a temporary directory, which is kept on failure.
 #
+# Usage: scripts/demo.sh [--leave HOST] [--kill HOST]
+#
+# --leave sends SIGTERM to an entry host (a1 to c2) under the load, --kill sends
+# SIGKILL; the platform's list of hosts follows a second later.
+#
 # DEMO_NET sets the first two bytes of the loopback addresses, DEMO_SEED the seed
 # of the load.
 set -euo pipefail
@@ -20,6 +25,20 @@
 proofs='[2001:db8::20]:443'
 lookups=198.51.100.30:53
 
+leaving=""
+killed=""
+while [ $# -gt 0 ]; do
+	case $1 in
+	--leave) leaving=${2:?} ;;
+	--kill) killed=${2:?} ;;
+	*)
+		echo "usage: scripts/demo.sh [--leave HOST] [--kill HOST]"
+		exit 2
+		;;
+	esac
+	shift 2
+done
+
 dir=$(mktemp -d)
 pids=()
 names=()
@@ -102,14 +121,18 @@
 	seeds
 }
 
-# host_list prints the platform's list of entry hosts.
+# host_list GONE prints the platform's list of entry hosts; GONE is leaving.
 host_list() {
-	local entry id number domain separator=""
+	local entry id number domain gone separator=""
 	printf '{"hosts":['
 	for entry in "${hosts[@]}"; do
 		IFS=: read -r id number domain <<<"$entry"
-		printf '%s{"ID":"%s","Domain":"%s","Packets":"%s:6080","Relay":"%s:6081","Control":"%s:6082","leaving":false}' \
-			"$separator" "$id" "$domain" "$net.1.$number" "$net.1.$number" "$net.1.$number"
+		gone=false
+		if [ "$id" = "$1" ]; then
+			gone=true
+		fi
+		printf '%s{"ID":"%s","Domain":"%s","Packets":"%s:6080","Relay":"%s:6081","Control":"%s:6082","leaving":%s}' \
+			"$separator" "$id" "$domain" "$net.1.$number" "$net.1.$number" "$net.1.$number" "$gone"
 		separator=","
 	done
 	printf ']}\n'
@@ -255,6 +278,7 @@
 	cat <<-TOML
 		listen = "$return_address"
 		hosts = [${list%, }]
+		platform = "$platform"
 		upstreams = "http://$upstreams"
 		changed_targets = ["feed-2", "feed-15"]
 		seed = $seed
@@ -271,7 +295,7 @@
 }
 
 echo "demo: ${#hosts[@]} entry hosts in 3 failure domains, 20 targets and one to add, on $net.0.0/16"
-host_list >"$dir/hosts.json"
+host_list "" >"$dir/hosts.json"
 start platform ./bin/guava-standin platform --listen "$platform_address" --hosts "$dir/hosts.json"
 upstream_settings >"$dir/upstreams.toml"
 start upstreams ./bin/guava-standin upstream --config "$dir/upstreams.toml"
@@ -302,17 +326,55 @@
 applied=0
 ./bin/guavactl apply "$dir/demo-2.toml" --platform "$platform" --wait 20s || applied=$?
 
+# pid_of NAME prints the process id of a started process.
+pid_of() {
+	local index
+	for index in "${!names[@]}"; do
+		if [ "${names[index]}" = "$1" ]; then
+			echo "${pids[index]}"
+		fi
+	done
+}
+
+# stop_host ID SIGNAL ends an entry host; the platform's list follows later.
+stop_host() {
+	local pid
+	pid=$(pid_of "$1")
+	if [ -z "$pid" ]; then
+		echo "demo: there is no entry host $1"
+		exit 2
+	fi
+	echo "demo: sending $2 to entry host $1 under load"
+	kill "-$2" "$pid"
+	sleep 1
+	host_list "$1" >"$dir/hosts-$1.json"
+	./bin/guava-standin hosts --platform "$platform" --file "$dir/hosts-$1.json"
+}
+
+left=0
+if [ -n "$leaving" ]; then
+	stop_host "$leaving" TERM
+	wait "$(pid_of "$leaving")" || left=$?
+	echo "demo: entry host $leaving exited with status $left"
+fi
+if [ -n "$killed" ]; then
+	stop_host "$killed" KILL
+fi
+
 status=0
 wait "$callers" || status=$?
 cat "$dir/summary.txt"
 ./bin/guavactl status --platform "$platform"
 for index in "${!pids[@]}"; do
-	if ! kill -0 "${pids[index]}" 2>/dev/null && [ "${pids[index]}" != "$callers" ]; then
+	case ${names[index]} in
+	callers | "$leaving" | "$killed") continue ;;
+	esac
+	if ! kill -0 "${pids[index]}" 2>/dev/null; then
 		echo "demo: a process ended early: ${names[index]}"
 		status=1
 	fi
 done
-if [ "$status" -ne 0 ] || [ "$applied" -ne 0 ]; then
+if [ "$status" -ne 0 ] || [ "$applied" -ne 0 ] || [ "$left" -ne 0 ]; then
 	cat "$dir/callers.log"
 	echo "demo: FAILED"
 	exit 1
