--- /dev/null
+++ b/internal/coordination/traffic/engine_test.go
@@ -0,0 +1,264 @@
+package traffic
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// start is the time at which test engines start.
+var start = time.Unix(1_700_000_000, 0)
+
+// settledEngine returns an engine of a host that is past its start.
+func settledEngine(s Settings, snap *state.Snapshot) (*Engine, time.Time) {
+	e := NewEngine(s, rand.New(rand.NewPCG(1, 1)))
+	e.begin(start, snap)
+	return e, start.Add(DefaultOverlap)
+}
+
+// ownedPacket returns a packet of a flow that the engine's host owns first.
+func ownedPacket(e *Engine, from int, kind PacketKind) Packet {
+	for n := from; ; n++ {
+		p := benchPacket(n, kind)
+		if e.routes(e.service(1)).owners(p.Fingerprint).first.self {
+			return p
+		}
+	}
+}
+
+func TestReasonsHaveNames(t *testing.T) {
+	names := make(map[string]bool)
+	for _, r := range AllReasons() {
+		require.NotEmpty(t, r.String())
+		require.False(t, names[r.String()], r.String())
+		names[r.String()] = true
+	}
+	require.Equal(t, "unknown", reasonCount.String())
+}
+
+func TestTableAgreesWithMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 40
+		records := newTable(limit)
+		model := make(map[state.Fingerprint]state.TargetNumber)
+		for i := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			fp := state.Fingerprint{Low: rapid.Uint64Range(0, 70).Draw(t, "flow")}
+			if rapid.Bool().Draw(t, "remove") {
+				records.remove(fp)
+				delete(model, fp)
+			} else if records.find(fp) == nil {
+				r := records.insert(fp, limit)
+				require.Equal(t, len(model) < limit, r != nil)
+				if r != nil {
+					r.service = 1
+					r.target = state.TargetNumber(i + 1)
+					model[fp] = r.target
+				}
+			}
+		}
+		require.Equal(t, len(model), records.count)
+		walked := 0
+		for i := range records.slots() {
+			if r := records.walk(i); r != nil {
+				require.Equal(t, model[r.fingerprint], r.target)
+				require.Same(t, r, records.find(r.fingerprint))
+				walked++
+			}
+		}
+		require.Equal(t, len(model), walked)
+	})
+}
+
+// drawSnapshot draws a view of 1 to 9 hosts.
+func drawSnapshot(t *rapid.T) *state.Snapshot {
+	snap := benchSnapshot(state.WayOwner, 0)
+	snap.View.Members = nil
+	for i := range rapid.IntRange(1, 9).Draw(t, "hosts") {
+		h := state.Host{ID: state.HostID(fmt.Sprint("h", i))}
+		h.Domain = state.DomainID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "domain"))
+		snap.View.Members = append(snap.View.Members, state.Member{Host: h})
+	}
+	return snap
+}
+
+// ownersIn returns a flow's owner pair under a snapshot.
+func ownersIn(snap *state.Snapshot, fp state.Fingerprint) owners {
+	return newServiceRoutes(onlyEntry(snap), newViewIndex(start, snap, nil)).owners(fp)
+}
+
+// onlyEntry returns the entry of the only service.
+func onlyEntry(snap *state.Snapshot) *state.ServiceEntry {
+	for _, entry := range snap.Services {
+		return entry
+	}
+	return nil
+}
+
+func TestOneDeathLeavesAnOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		snap := drawSnapshot(t)
+		fp := state.Fingerprint{High: rapid.Uint64().Draw(t, "high"), Low: rapid.Uint64().Draw(t, "low")}
+		before := ownersIn(snap, fp)
+		dead := rapid.IntRange(0, len(snap.View.Members)-1).Draw(t, "dead")
+		gone := snap.View.Members[dead].ID
+		snap.View.Members = append(snap.View.Members[:dead:dead], snap.View.Members[dead+1:]...)
+		after := ownersIn(snap, fp)
+		if len(snap.View.Members) == 0 {
+			require.Nil(t, after.first)
+			return
+		}
+		if before.first.id == gone {
+			require.Equal(t, before.second.id, after.first.id)
+		} else {
+			require.Equal(t, before.first.id, after.first.id)
+		}
+	})
+}
+
+func TestSearchVisitsEveryHostOfSmallViews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		snap := drawSnapshot(t)
+		view := newViewIndex(start, snap, nil)
+		order := newSearchOrder(view, state.Fingerprint{High: rapid.Uint64().Draw(t, "high"), Low: rapid.Uint64().Draw(t, "low")})
+		seen := make(map[state.HostID]bool)
+		for cell := range order.cells() {
+			if h := order.host(cell); h != nil {
+				require.False(t, seen[h.id])
+				seen[h.id] = true
+			}
+		}
+		for _, domain := range view.domains {
+			visited := 0
+			for _, h := range domain.hosts {
+				if seen[h.id] {
+					visited++
+				}
+			}
+			require.Equal(t, min(len(domain.hosts), searchRanks), visited)
+		}
+	})
+}
+
+func TestRefusalIsRememberedAndTrue(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{}, snap)
+	forwarded := ownedPacket(e, 0, KindOpening)
+	refused := ownedPacket(e, 5000, KindOpening)
+	require.Equal(t, VerbRelay, e.Handle(now, snap, &forwarded).Verb)
+	for _, target := range snap.Targets {
+		target.Ejected = true
+	}
+	d := e.Handle(now, snap, &refused)
+	require.Equal(t, relay.VerdictRefuse, d.Header.Verdict)
+	require.Equal(t, relay.VerdictForward, e.Handle(now, snap, &forwarded).Header.Verdict)
+	for _, target := range snap.Targets {
+		target.Ejected = false
+	}
+	d = e.Handle(now.Add(time.Second), snap, &refused)
+	require.Equal(t, VerbRefuse, d.Verb)
+	require.Equal(t, DefaultRetryAfter-time.Second, d.RetryAfter)
+	refused.Kind = KindData
+	require.Equal(t, ReasonRefusedFlow, e.Handle(now, snap, &refused).Reason)
+	now = now.Add(DefaultRetryAfter + time.Second)
+	e.Sweep(now, snap, 100)
+	refused.Kind = KindOpening
+	require.Equal(t, relay.VerdictForward, e.Handle(now, snap, &refused).Header.Verdict)
+}
+
+func TestYoungHostDoesNotRefuse(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e := NewEngine(Settings{}, rand.New(rand.NewPCG(1, 1)))
+	e.begin(start, snap)
+	p := ownedPacket(e, 0, KindOpening)
+	for _, target := range snap.Targets {
+		target.Ejected = true
+	}
+	require.Equal(t, ReasonUnsettled, e.Handle(start.Add(DefaultSettle-1), snap, &p).Reason)
+	require.Equal(t, relay.VerdictRefuse, e.Handle(start.Add(DefaultSettle), snap, &p).Header.Verdict)
+}
+
+func TestSecondOwnersVerdictWins(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{}, snap)
+	p := benchPacket(1, KindOpening)
+	p.Relay.Kind = relay.KindOpening
+	p.Relay.Verdict = relay.VerdictForward
+	p.Relay.Target = 3
+	p.Relay.Reason = uint8(headerFresh | headerTentative)
+	require.Equal(t, state.TargetNumber(3), e.Handle(now, snap, &p).Target.Number)
+	p.Relay.Target = 4
+	d := e.Handle(now, snap, &p)
+	require.Equal(t, state.TargetNumber(3), d.Target.Number)
+	require.Equal(t, 1, d.NoticeCount)
+	require.Equal(t, relay.KindConfirm, d.Notices[0].Header.Kind)
+	p.Relay.Verdict = relay.VerdictRefuse
+	p.Relay.Reason = uint8(ReasonTableFull)
+	require.Equal(t, VerbForward, e.Handle(now, snap, &p).Verb)
+}
+
+func TestFullTableKeepsOpenFlows(t *testing.T) {
+	const limit = 100
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{MaxRecords: limit}, snap)
+	var first Packet
+	refused := 0
+	for n := range 2 * limit {
+		p := ownedPacket(e, n*1000, KindOpening)
+		if n == 0 {
+			first = p
+		}
+		if e.Handle(now, snap, &p).Header.Verdict == relay.VerdictRefuse {
+			refused++
+		}
+	}
+	require.Equal(t, 2*limit-limit*openingShareMilli/1000, refused)
+	require.LessOrEqual(t, e.Len(), limit)
+	first.Kind = KindData
+	require.Equal(t, relay.VerdictForward, e.Handle(now, snap, &first).Header.Verdict)
+}
+
+func TestBadHeadersAreDropped(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{}, snap)
+	for reason, spoil := range map[Reason]func(*Packet){
+		ReasonTooManyHops: func(p *Packet) { p.Relay.Hops = relay.MaxHops + 1 },
+		ReasonNoService:   func(p *Packet) { p.Key.Protocol = state.UDP },
+		ReasonForeignHeader: func(p *Packet) {
+			p.Relay.Fingerprint.Low++
+		},
+	} {
+		p := benchPacket(1, KindData)
+		spoil(&p)
+		require.Equal(t, reason, e.Handle(now, snap, &p).Reason)
+	}
+}
+
+func TestReusedAddressGetsNothing(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{}, snap)
+	p := ownedPacket(e, 0, KindOpening)
+	number := e.Handle(now, snap, &p).Header.Target
+	reused := *snap
+	reused.Targets = make(map[state.TargetNumber]*state.TargetEntry)
+	for n, target := range snap.Targets {
+		reused.Targets[n] = target
+	}
+	old := *snap.Targets[number]
+	old.Withdrawn = true
+	reused.Targets[number] = &old
+	other := old
+	other.Withdrawn = false
+	other.Number = 99
+	other.Service = 2
+	reused.Targets[99] = &other
+	p.Kind = KindData
+	e.Handle(now, &reused, &p)
+	require.Equal(t, ReasonAddressReused, e.Handle(now, &reused, &p).Reason)
+}
