--- a/internal/coordination/traffic/chain.go
+++ b/internal/coordination/traffic/chain.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -39,10 +40,10 @@
 type serviceRoutes struct {
 	entry *state.ServiceEntry
 	view  *viewIndex
-	// owning and placing are the weights of view.domains, in its order. They
-	// are 0 for a domain without hosts that may own new flows.
-	owning  []float64
-	placing []float64
+	// owning holds the weights of view.domains, in its order.
+	owning []float64
+	// placing holds the failure domains of targets that take new flows.
+	placing []targetDomain
 	// former holds the routes before the last change of owners, which count
 	// until formerUntil.
 	former      *serviceRoutes
@@ -51,20 +52,28 @@
 	tableSettles time.Time
 }
 
+// targetDomain is a failure domain as a place for new flows.
+type targetDomain struct {
+	id     state.DomainID
+	seed   uint64
+	weight float64
+}
+
 // newServiceRoutes joins a service's domain weights with a view.
 func newServiceRoutes(entry *state.ServiceEntry, view *viewIndex) *serviceRoutes {
 	r := &serviceRoutes{
-		entry:   entry,
-		view:    view,
-		owning:  make([]float64, len(view.domains)),
-		placing: make([]float64, len(view.domains)),
+		entry:  entry,
+		view:   view,
+		owning: make([]float64, len(view.domains)),
 	}
-	for i, domain := range view.domains {
-		for _, w := range entry.Domains {
-			if w.Domain == domain.id && len(domain.alive) > 0 {
-				r.owning[i] = float64(w.Weight)
-				r.placing[i] = float64(w.Usable)
-			}
+	for _, w := range entry.Domains {
+		i := slices.IndexFunc(view.domains, func(d *domainRoute) bool { return d.id == w.Domain })
+		if i >= 0 {
+			r.owning[i] = float64(w.Weight)
+		}
+		if w.Usable > 0 {
+			place := targetDomain{id: w.Domain, seed: domainSeed(w.Domain), weight: float64(w.Usable)}
+			r.placing = append(r.placing, place)
 		}
 	}
 	return r
@@ -73,7 +82,7 @@
 // owners returns the flow's owner pair: the best two hosts of its home domain,
 // or one host each of its best two domains. Hosts that are leaving come last.
 func (r *serviceRoutes) owners(fp state.Fingerprint) owners {
-	home := r.best(fp, r.owning, nil)
+	home := r.best(fp, nil)
 	if home == nil {
 		return r.leavingOwners(fp)
 	}
@@ -83,7 +92,7 @@
 	if o.second != nil {
 		return o
 	}
-	if next := r.best(fp, r.owning, home); next != nil {
+	if next := r.best(fp, home); next != nil {
 		o.second = topHost(next.alive, fp, nil)
 	}
 	return o
@@ -101,14 +110,14 @@
 
 // best returns the domain with alive hosts that wins the weighted rendezvous,
 // except one that may be nil; nil if there is none.
-func (r *serviceRoutes) best(fp state.Fingerprint, weights []float64, except *domainRoute) *domainRoute {
+func (r *serviceRoutes) best(fp state.Fingerprint, except *domainRoute) *domainRoute {
 	var winner *domainRoute
 	least := 0.0
 	for i, domain := range r.view.domains {
 		if domain == except || len(domain.alive) == 0 {
 			continue
 		}
-		score := weightedScore(mix64(fp.High^domain.seed), weights[i])
+		score := weightedScore(mix64(fp.High^domain.seed), r.owning[i])
 		if winner == nil || score < least {
 			winner = domain
 			least = score
@@ -132,13 +141,18 @@
 	return winner
 }
 
-// placeDomain returns the domain whose targets a new flow prefers; nil when no
-// domain with hosts has a usable target.
-func (r *serviceRoutes) placeDomain(fp state.Fingerprint) *domainRoute {
-	for _, weight := range r.placing {
-		if weight > 0 {
-			return r.best(fp, r.placing, nil)
+// placeDomain returns the domain whose targets a new flow prefers: its home
+// domain, unless targets are leaving or the domain has no hosts. It is anyDomain
+// when no target takes new flows.
+func (r *serviceRoutes) placeDomain(fp state.Fingerprint) state.DomainID {
+	winner := anyDomain
+	least := 0.0
+	for _, domain := range r.placing {
+		score := weightedScore(mix64(fp.High^domain.seed), domain.weight)
+		if winner == anyDomain || score < least {
+			winner = domain.id
+			least = score
 		}
 	}
-	return nil
+	return winner
 }
--- a/internal/coordination/traffic/experiment/bed.go
+++ b/internal/coordination/traffic/experiment/bed.go
@@ -112,18 +112,21 @@
 	byID     map[state.HostID]*Host
 	targets  map[state.TargetNumber]*Target
 	byKey    map[string]*Target
-	callers  int
-	flows    []*Flow
-	release  state.Release
+	// callers numbers the callers, from a random start.
+	callers uint32
+	flows   []*Flow
+	release state.Release
 }
 
 // NewBed returns an experiment without hosts.
 func NewBed(seed uint64, link Link, settings traffic.Settings) *Bed {
+	random := rand.New(rand.NewPCG(seed, seed))
 	return &Bed{
 		Counts:   Counts{Reasons: make(map[traffic.Reason]int)},
 		Settings: settings,
 		link:     link,
-		random:   rand.New(rand.NewPCG(seed, seed)),
+		random:   random,
+		callers:  random.Uint32(),
 		start:    time.Unix(1_700_000_000, 0),
 		byID:     make(map[state.HostID]*Host),
 		targets:  make(map[state.TargetNumber]*Target),
--- /dev/null
+++ b/internal/coordination/traffic/experiment/compare_test.go
@@ -0,0 +1,101 @@
+package experiment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// maxImbalance is the stated bound at 200 or more open flows a target.
+const maxImbalance = 1.10
+
+// variant is one way of finding and placing flows.
+type variant struct {
+	name     string
+	way      state.Way
+	settings traffic.Settings
+}
+
+// variants are the ways that are compared.
+var variants = []variant{
+	{"A hash", state.WayHash, traffic.Settings{}},
+	{"B default", state.WayOwner, traffic.Settings{}},
+	{"B bounded 1.01", state.WayOwner, traffic.Settings{BoundMilli: 1010}},
+	{"B bounded 1.05", state.WayOwner, traffic.Settings{BoundMilli: 1050}},
+	{"B bounded 1.10", state.WayOwner, traffic.Settings{BoundMilli: 1100}},
+	{"B bounded 1.25", state.WayOwner, traffic.Settings{BoundMilli: 1250}},
+	{"B plain Maglev", state.WayOwner, traffic.Settings{Placement: traffic.PlaceHash}},
+	{"B two choices", state.WayOwner, traffic.Settings{Placement: traffic.PlaceTwoChoices}},
+	{"C contested", state.WayContested, traffic.Settings{}},
+}
+
+// imbalances runs a variant in steady state and returns the mean and the worst
+// imbalance of the large service over the seeds.
+func imbalances(topology Topology, v variant, perTarget int) (mean, worst float64) {
+	n := 0.0
+	for seed := range seeds() {
+		b := Start(topology, seed, v.way, v.settings)
+		b.Run(5 * time.Second)
+		b.Load(perTarget, 10*time.Second, Plan{Requests: 1, Pause: time.Hour})
+		b.Run(20 * time.Second)
+		imbalance := b.Imbalance(b.Service(0).Number)
+		mean += imbalance
+		worst = max(worst, imbalance)
+		n++
+	}
+	return mean / n, worst
+}
+
+// loads returns the numbers of open flows a target; GUAVA_SEEDS adds a larger.
+func loads() []int {
+	if seeds() == 1 {
+		return []int{200}
+	}
+	return []int{200, 1000}
+}
+
+func TestImbalance(t *testing.T) {
+	for _, topology := range []Topology{Huaman, Hanbit} {
+		for _, perTarget := range loads() {
+			worst := make(map[string]float64)
+			for _, v := range variants {
+				mean, most := imbalances(topology, v, perTarget)
+				worst[v.name] = most
+				t.Logf("%s, %d flows a target, %s: mean %.3f worst %.3f", topology.Name, perTarget, v.name, mean, most)
+			}
+			require.LessOrEqual(t, worst["B default"], maxImbalance)
+			require.Less(t, worst["B default"], worst["A hash"])
+		}
+	}
+}
+
+func TestHashAloneBreaksFlows(t *testing.T) {
+	b := runChanges(Huaman, 1, state.WayHash, traffic.Settings{}, releaseChange)
+	t.Logf("%v", b.Counts)
+	require.NotZero(t, b.Counts.Broken)
+}
+
+// killTwo kills both hosts of a failure domain at once.
+var killTwo = change{"two hosts of a domain killed", func(b *Bed) {
+	b.KillHost(3)
+	b.KillHost(4)
+}}
+
+func TestBothOwnersKilled(t *testing.T) {
+	for _, topology := range []Topology{Huaman, Hanbit} {
+		for _, v := range variants {
+			broken, opened := 0, 0
+			for seed := range seeds() {
+				b := runChanges(topology, seed, v.way, v.settings, killTwo)
+				broken += b.Counts.Broken
+				opened += b.Counts.Opened
+			}
+			t.Logf("%s, %s: %d of %d broken", topology.Name, v.name, broken, opened)
+			require.Less(t, broken, opened/3, "only flows of the domain may break")
+		}
+	}
+}
--- a/internal/coordination/traffic/experiment/flow.go
+++ b/internal/coordination/traffic/experiment/flow.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -17,6 +18,8 @@
 	openingSize    = 60
 	dataSize       = 400
 	dataPayload    = 340
+	firstPort      = 1024
+	callerPorts    = 64
 )
 
 // segment is one packet of a flow.
@@ -61,11 +64,13 @@
 func (b *Bed) Open(service *state.Service, plan Plan) *Flow {
 	b.callers++
 	n := b.callers
-	caller := netip.AddrFrom4([4]byte{10, byte(n >> 22), byte(n >> 14), byte(n >> 6)})
+	var address [4]byte
+	binary.BigEndian.PutUint32(address[:], n/callerPorts)
+	caller := netip.AddrFrom4(address)
 	f := &Flow{bed: b, service: service, plan: plan}
 	f.key = state.FlowKey{
 		Protocol: service.Protocol,
-		Caller:   netip.AddrPortFrom(caller, uint16(1024+n&63)),
+		Caller:   netip.AddrPortFrom(caller, uint16(firstPort+n%callerPorts)),
 		Service:  service.Address,
 	}
 	f.fingerprint = f.key.Fingerprint()
--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -37,10 +37,8 @@
 		return e.placeByHash(f)
 	}
 	home := f.routes.placeDomain(f.packet.Fingerprint)
-	if home != nil {
-		if target := e.placeIn(f, home.id); target != nil {
-			return target, ReasonNone
-		}
+	if target := e.placeIn(f, home); target != nil {
+		return target, ReasonNone
 	}
 	if target := e.placeIn(f, anyDomain); target != nil {
 		return target, ReasonNone
@@ -188,7 +186,7 @@
 		if t == nil {
 			continue
 		}
-		if home == nil || t.Domain == home.id {
+		if inDomain(t, home) {
 			return t
 		}
 		if any == nil {
--- a/internal/coordination/traffic/settings.go
+++ b/internal/coordination/traffic/settings.go
@@ -45,7 +45,7 @@
 // Defaults of Settings.
 const (
 	DefaultMaxRecords     = 1 << 17
-	DefaultBoundMilli     = 1100
+	DefaultBoundMilli     = 1020
 	DefaultSettle         = 500 * time.Millisecond
 	DefaultOverlap        = 3 * time.Second
 	DefaultIdleTimeout    = 5 * time.Minute
--- a/internal/coordination/traffic/view.go
+++ b/internal/coordination/traffic/view.go
@@ -86,11 +86,14 @@
 	if domain := v.domain(id); domain != nil {
 		return domain
 	}
-	domain := &domainRoute{id: id, seed: xxh3.HashString(string(id))}
+	domain := &domainRoute{id: id, seed: domainSeed(id)}
 	v.domains = append(v.domains, domain)
 	return domain
 }
 
+// domainSeed is the hash by which a failure domain takes part in rendezvous.
+func domainSeed(id state.DomainID) uint64 { return xxh3.HashString(string(id)) }
+
 // domain returns a domain's entry, nil if there is none.
 func (v *viewIndex) domain(id state.DomainID) *domainRoute {
 	if v == nil {
