Tell operators' stories under load, races, outages and a domain away

Change: scenarios for a rolling restart of all hosts and a release under load, racing operators, a platform outage, a domain that stands still, and a host without peer or platform. A crash of a stand-in is 'crash', as testscript's own 'kill' means another thing.

--- a/internal/scenarios/cluster_test.go
+++ b/internal/scenarios/cluster_test.go
@@ -133,6 +133,7 @@
 	}
 	log := &bytes.Buffer{}
 	command := exec.Command(filepath.Join(binaries, binary), args...)
+	command.Dir = c.dir
 	command.Stdout = log
 	command.Stderr = log
 	if err := command.Start(); err != nil {
--- /dev/null
+++ b/internal/scenarios/load_test.go
@@ -0,0 +1,85 @@
+package scenarios
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Addresses and sizes of the load.
+const (
+	portUpstreams = 7901
+	loadService   = "198.51.100.10:443"
+	loadTargets   = 6
+)
+
+// cmdLoad writes upstreams.toml, callers.toml and first.toml: one service on
+// targets spread over the cluster's failure domains, and flows that make a
+// number of exchanges, one a second.
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	c := clusterOf(ts)
+	flows, exchanges := number(ts, args[0]), number(ts, args[1])
+	c.write(ts, "upstreams.toml", c.upstreamSettings())
+	c.write(ts, "callers.toml", c.callerSettings(flows, exchanges))
+	c.write(ts, "first.toml", c.firstNote())
+}
+
+func (c *cluster) write(ts *testscript.TestScript, name string, text bytes.Buffer) {
+	ts.Check(os.WriteFile(filepath.Join(c.dir, name), text.Bytes(), 0o600))
+}
+
+func (c *cluster) target(number int) netip.AddrPort { return c.address(number+100, portPackets) }
+
+func (c *cluster) upstreamSettings() bytes.Buffer {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "control = %q\n", c.address(2, portUpstreams))
+	fmt.Fprintf(&text, "return = %q\n", c.address(1, portReturn))
+	fmt.Fprintf(&text, "[report]\nplatform = \"http://%s\"\n", c.address(1, portPlatform))
+	fmt.Fprintf(&text, "interval = \"1s\"\nlag = \"1s\"\n")
+	for i := range loadTargets {
+		fmt.Fprintf(&text, "[[target]]\nid = \"feed-%d\"\naddress = %q\n", i, c.target(i))
+		fmt.Fprintf(&text, "service = %q\nprotocol = \"tcp\"\n", loadService)
+		fmt.Fprintf(&text, "slots = 3\nconnections = 2000\nservice_time = \"1ms\"\n")
+	}
+	return text
+}
+
+func (c *cluster) callerSettings(flows, exchanges int) bytes.Buffer {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "listen = %q\n", c.address(1, portReturn))
+	fmt.Fprintf(&text, "platform = \"http://%s\"\n", c.address(1, portPlatform))
+	fmt.Fprintf(&text, "upstreams = \"http://%s\"\n", c.address(2, portUpstreams))
+	fmt.Fprintf(&text, "hosts = [")
+	for _, host := range c.hosts {
+		fmt.Fprintf(&text, "%q, ", host.Packets)
+	}
+	fmt.Fprintf(&text, "]\nseed = 1\nloss = 0.005\ndelay = \"1ms\"\njitter = \"1ms\"\n")
+	fmt.Fprintf(&text, "workers = 2\nlimit = \"120s\"\n")
+	fmt.Fprintf(&text, "[[group]]\nname = \"feed\"\nservice = %q\nprotocol = \"tcp\"\n", loadService)
+	fmt.Fprintf(&text, "flows = %d\nramp = \"2s\"\nexchanges = %d\n", flows, exchanges)
+	fmt.Fprintf(&text, "interval = \"1s\"\nkind = \"deposit\"\nanswer_size = 500\n")
+	return text
+}
+
+func (c *cluster) firstNote() bytes.Buffer {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "id = \"first\"\nbase = 0\n")
+	domains := make(map[string]bool)
+	for _, host := range c.hosts {
+		if !domains[string(host.Domain)] {
+			fmt.Fprintf(&text, "[[add.domain]]\nid = %q\n", host.Domain)
+			domains[string(host.Domain)] = true
+		}
+	}
+	fmt.Fprintf(&text, "[[set.customer]]\nid = \"painter\"\n")
+	fmt.Fprintf(&text, "[[add.service]]\nid = \"feed\"\ncustomer = \"painter\"\naddress = %q\n", loadService)
+	for i := range loadTargets {
+		fmt.Fprintf(&text, "[[add.target]]\nid = \"feed-%d\"\nservice = \"feed\"\n", i)
+		fmt.Fprintf(&text, "domain = %q\naddress = %q\n", c.hosts[i%len(domains)].Domain, c.target(i))
+	}
+	return text
+}
--- a/internal/scenarios/scenarios_test.go
+++ b/internal/scenarios/scenarios_test.go
@@ -6,12 +6,13 @@
 //	cluster HOSTS DOMAINS      start the platform and entry hosts a1, b1, ... a2, ...
 //	start NAME                 start an entry host, or "platform", again
 //	stop NAME                  SIGTERM, then wait for exit code 0
-//	kill NAME                  SIGKILL, then wait for the end
+//	crash NAME                 SIGKILL, then wait for the end
 //	freeze NAME, thaw NAME     SIGSTOP, SIGCONT
 //	fault JSON                 set the platform's faults; {} clears them
 //	poll REGEXP COMMAND...     run the command until its output matches
 //	background NAME BIN ARGS   start another process
 //	finish NAME CODE           wait for a process and check its exit code
+//	load FLOWS EXCHANGES       write the files of a load: see cmdLoad
 package scenarios
 
 import (
@@ -66,13 +67,14 @@
 			"cluster":    cmdCluster,
 			"start":      cmdStart,
 			"stop":       cmdStop,
-			"kill":       cmdKill,
+			"crash":      cmdCrash,
 			"freeze":     cmdFreeze,
 			"thaw":       cmdThaw,
 			"fault":      cmdFault,
 			"poll":       cmdPoll,
 			"background": cmdBackground,
 			"finish":     cmdFinish,
+			"load":       cmdLoad,
 		},
 	})
 }
@@ -134,7 +136,7 @@
 	}
 }
 
-func cmdKill(ts *testscript.TestScript, _ bool, args []string) {
+func cmdCrash(ts *testscript.TestScript, _ bool, args []string) {
 	c := clusterOf(ts)
 	ts.Check(c.signal(args[0], syscall.SIGKILL))
 	_, err := c.wait(args[0])
