--- a/internal/transport/platform/circuit.go
+++ b/internal/transport/platform/circuit.go
@@ -7,6 +7,10 @@
 	"github.com/sony/gobreaker/v2"
 )
 
+// circuitMargin makes a caller that comes back on time find the circuit ready:
+// the breaker moves on only after its timeout.
+const circuitMargin = 1 * time.Millisecond
+
 // circuit stops calls for a while after consecutive failures.
 type circuit struct {
 	breaker *gobreaker.CircuitBreaker[attempt]
@@ -37,7 +41,7 @@
 	defer c.mu.Unlock()
 	c.openUntil = time.Time{}
 	if to == gobreaker.StateOpen {
-		c.openUntil = time.Now().Add(c.openFor)
+		c.openUntil = time.Now().Add(c.openFor + circuitMargin)
 	}
 }
 
--- a/internal/transport/platform/counters.go
+++ b/internal/transport/platform/counters.go
@@ -39,4 +39,5 @@
 	causeInvalid     cause = "invalid"
 	causeTooLarge    cause = "too_large"
 	causeCancelled   cause = "cancelled"
+	causeWatch       cause = "watch"
 )
--- /dev/null
+++ b/internal/transport/platform/idempotent_test.go
@@ -0,0 +1,110 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+func TestLostAnswersOfIdempotentWrites(t *testing.T) {
+	overwritten := func(o *outage) fault {
+		return func(w http.ResponseWriter, _ *http.Request, run func()) bool {
+			run()
+			o.store.mu.Lock()
+			o.store.put(&discardWriter{header: make(http.Header)}, "k", "1", []byte(`"other"`))
+			o.store.mu.Unlock()
+			hangUp(w)
+			return true
+		}
+	}
+	cases := map[string]struct {
+		faults  func(o *outage) []fault
+		result  objects.Result
+		version uint64
+	}{
+		"request lost":             {func(*outage) []fault { return []fault{lostRequest} }, objects.ResultOK, 1},
+		"answer lost":              {func(*outage) []fault { return []fault{lostAnswer} }, objects.ResultOK, 1},
+		"slow":                     {func(*outage) []fault { return []fault{slowAnswer} }, objects.ResultOK, 1},
+		"runs late":                {func(*outage) []fault { return []fault{lateRun} }, objects.ResultOK, 1},
+		"answer lost twice":        {func(*outage) []fault { return []fault{lostRequest, healthy, lostAnswer} }, objects.ResultOK, 1},
+		"answer lost, read fails":  {func(*outage) []fault { return []fault{lostAnswer, garbled, garbled, garbled} }, objects.ResultUnknown, 1},
+		"overwritten by another":   {func(o *outage) []fault { return []fault{overwritten(o)} }, objects.ResultUnknown, 2},
+		"refused by the platform":  {func(*outage) []fault { return []fault{rateLimited} }, objects.ResultRefused, 0},
+		"unavailable, then healed": {func(*outage) []fault { return []fault{unavailable} }, objects.ResultOK, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+				o.store.inject(c.faults(o)...)
+				outcome := o.client.DoIdempotent(t.Context(), put("k", 0, `"mine"`))
+				time.Sleep(time.Minute)
+				require.Equal(t, c.result, outcome.Result)
+				require.Equal(t, c.version, o.store.version("k"))
+			})
+		})
+	}
+}
+
+// TestOutcomesOfRacingWritesAreTrue lets clients race for one object under
+// random faults: OK means that the write is in the history exactly once,
+// conflict and refused mean that it is not.
+func TestOutcomesOfRacingWritesAreTrue(t *testing.T) {
+	faults := []fault{healthy, lostRequest, lostAnswer, slowAnswer, lateRun, garbled, unavailable, rateLimited}
+	rapid.Check(t, func(rt *rapid.T) {
+		picks := rapid.SliceOfN(rapid.IntRange(0, len(faults)-1), 0, 40).Draw(rt, "faults")
+		synctest.Test(t, func(t *testing.T) {
+			raceForOneObject(t, rt, func(o *outage) {
+				for _, p := range picks {
+					o.store.inject(faults[p])
+				}
+			})
+		})
+	})
+}
+
+// raceForOneObject runs inside virtual time.
+func raceForOneObject(t *testing.T, rt *rapid.T, prepare func(*outage)) {
+	const writers, rounds = 3, 4
+	o, stop := startOutage(Settings{FailuresToOpen: 1000})
+	prepare(o)
+	type claim struct {
+		value  string
+		result objects.Result
+	}
+	claims := make(chan claim, writers*rounds)
+	for w := range writers {
+		go func() {
+			client := o.newClient(Settings{FailuresToOpen: 1000})
+			defer client.Close()
+			for round := range rounds {
+				current := client.Do(t.Context(), get("k"))
+				value := fmt.Sprintf(`"%d-%d"`, w, round)
+				outcome := client.DoIdempotent(t.Context(), put("k", current.Object.Version, value))
+				claims <- claim{value, outcome.Result}
+				time.Sleep(time.Duration(w+1) * time.Second)
+			}
+		}()
+	}
+	time.Sleep(10 * time.Minute)
+	synctest.Wait()
+	close(claims)
+	for c := range claims {
+		written := o.store.written(c.value)
+		switch {
+		case written > 1:
+			rt.Fatalf("%s was written %d times", c.value, written)
+		case c.result == objects.ResultOK && written != 1:
+			rt.Fatalf("%s is claimed written and is not", c.value)
+		case c.result != objects.ResultOK && c.result != objects.ResultUnknown && written != 0:
+			rt.Fatalf("%s is claimed not run (%d) and was written", c.value, c.result)
+		}
+	}
+	stop()
+}
--- /dev/null
+++ b/internal/transport/platform/outage_test.go
@@ -0,0 +1,202 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+func TestFaultsOfOneCall(t *testing.T) {
+	cases := map[string]struct {
+		call     objects.Call
+		faults   []fault
+		result   objects.Result
+		requests int
+		counter  string
+	}{
+		"read, request lost":        {get("k"), []fault{lostRequest}, objects.ResultAbsent, 2, CountRetry + "answer_lost"},
+		"read, slow":                {get("k"), []fault{slowAnswer}, objects.ResultAbsent, 2, CountRetry + "timeout"},
+		"read, garbled":             {get("k"), []fault{garbled}, objects.ResultAbsent, 2, CountRetry + "malformed_answer"},
+		"read, unavailable":         {get("k"), []fault{unavailable}, objects.ResultAbsent, 2, CountRetry + "unavailable"},
+		"read, unavailable for all": {get("k"), []fault{unavailable, unavailable, unavailable}, objects.ResultUnknown, 3, CountUnknown + "get"},
+		"read, rate limited":        {get("k"), []fault{rateLimited}, objects.ResultRefused, 1, CountRefused + "rate_limited"},
+		"write, request lost":       {put("k", 0, "1"), []fault{lostRequest}, objects.ResultUnknown, 1, CountUnknown + "put"},
+		"write, answer lost":        {put("k", 0, "1"), []fault{lostAnswer}, objects.ResultUnknown, 1, CountUnknown + "put"},
+		"write, slow":               {put("k", 0, "1"), []fault{slowAnswer}, objects.ResultUnknown, 1, CountUnknown + "put"},
+		"write, unavailable":        {put("k", 0, "1"), []fault{unavailable}, objects.ResultUnknown, 1, CountUnknown + "put"},
+		"write, garbled":            {put("k", 0, "1"), []fault{garbled}, objects.ResultUnknown, 1, CountUnknown + "put"},
+		"write, rate limited":       {put("k", 0, "1"), []fault{rateLimited}, objects.ResultRefused, 1, CountRefused + "rate_limited"},
+		"write, too large":          {put("k", 0, string(make([]byte, objects.MaxValueSize+1))), nil, objects.ResultRefused, 0, CountRefused + "too_large"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+				o.store.inject(c.faults...)
+				outcome := o.client.Do(t.Context(), c.call)
+				require.Equal(t, c.result, outcome.Result)
+				require.Equal(t, c.requests, o.store.seen(""))
+				require.EqualValues(t, 1, o.count(c.counter), "%s in %s", c.counter, o.counters)
+			})
+		})
+	}
+}
+
+func TestWriteThatNeverConnectedIsRefusedAndNotRun(t *testing.T) {
+	underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+		o.network.down.Store(true)
+		outcome := o.client.Do(t.Context(), put("k", 0, "1"))
+		require.Equal(t, objects.ResultRefused, outcome.Result)
+		require.Positive(t, outcome.RetryAfter)
+		require.EqualValues(t, DefaultMaxAttempts-1, o.count(CountRetry+"connect"))
+		require.Zero(t, o.store.seen(""))
+	})
+}
+
+func TestRateLimitHoldsBackEveryCall(t *testing.T) {
+	underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+		o.store.inject(rateLimited)
+		require.Equal(t, 3*time.Second, o.client.Do(t.Context(), get("k")).RetryAfter)
+		time.Sleep(time.Second)
+		held := o.client.Do(t.Context(), get("other"))
+		require.Equal(t, objects.ResultRefused, held.Result)
+		require.Equal(t, 2*time.Second, held.RetryAfter)
+		require.Equal(t, 1, o.store.seen(""))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, objects.ResultAbsent, o.client.Do(t.Context(), get("k")).Result)
+	})
+}
+
+// outageLoad makes ten calls a second for a minute against a platform that
+// answers 503, and returns the requests that reached it.
+func outageLoad(t *testing.T, settings Settings) int {
+	requests := 0
+	underFaults(t, settings, func(t *testing.T, o *outage) {
+		for range 5000 {
+			o.store.inject(unavailable)
+		}
+		for range 600 {
+			go o.client.Do(context.Background(), get("k"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		requests = o.store.seen(http.MethodGet)
+		t.Logf("600 calls in 60 s made %d requests; %s", requests, o.counters)
+	})
+	return requests
+}
+
+func TestOutageIsNotMadeWorse(t *testing.T) {
+	const noCircuit = 1 << 30
+	unlimited := outageLoad(t, Settings{FailuresToOpen: noCircuit, RetryRate: 1e9, RetryBurst: 1e9})
+	budgeted := outageLoad(t, Settings{FailuresToOpen: noCircuit})
+	guarded := outageLoad(t, Settings{})
+	require.Equal(t, 600*DefaultMaxAttempts, unlimited, "without guards every call is repeated to the end")
+	require.LessOrEqual(t, budgeted, 600+DefaultRetryBurst+int(DefaultRetryRate*120))
+	trials := int(time.Minute/DefaultOpenFor) + 1
+	require.LessOrEqual(t, guarded, DefaultFailuresToOpen+DefaultMaxAttempts+trials*DefaultMaxAttempts)
+}
+
+func TestCircuitClosesAfterTheOutage(t *testing.T) {
+	underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+		o.network.down.Store(true)
+		for range 10 {
+			o.client.Do(t.Context(), get("k"))
+		}
+		refused := o.client.Do(t.Context(), get("k"))
+		require.Equal(t, objects.ResultRefused, refused.Result)
+		require.Positive(t, refused.RetryAfter)
+		require.LessOrEqual(t, refused.RetryAfter, DefaultOpenFor+circuitMargin)
+		require.Positive(t, o.count(CountRefused+"circuit_open"))
+		o.network.down.Store(false)
+		time.Sleep(refused.RetryAfter)
+		require.Equal(t, objects.ResultAbsent, o.client.Do(t.Context(), get("k")).Result)
+		require.EqualValues(t, 1, o.count(CountCircuit+"closed"))
+	})
+}
+
+func TestFirstWatchAfterAnOutageDoesNotWait(t *testing.T) {
+	underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+		o.network.down.Store(true)
+		for range 10 {
+			o.client.Do(t.Context(), get("k"))
+		}
+		o.network.down.Store(false)
+		time.Sleep(DefaultOpenFor + circuitMargin)
+		var wait string
+		o.store.inject(func(_ http.ResponseWriter, r *http.Request, _ func()) bool {
+			wait = r.URL.Query().Get("wait")
+			return false
+		})
+		watch := objects.Call{Verb: objects.VerbWatch, Key: "k", Wait: time.Minute}
+		require.Equal(t, objects.ResultOK, o.client.Do(t.Context(), watch).Result)
+		require.Equal(t, "0", wait)
+	})
+}
+
+func TestCancelledCallsDoNotOpenTheCircuit(t *testing.T) {
+	underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+		for range 10 {
+			o.store.inject(slowAnswer)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			require.Equal(t, objects.ResultUnknown, o.client.Do(ctx, get("k")).Result)
+			cancel()
+		}
+		require.Equal(t, objects.ResultAbsent, o.client.Do(t.Context(), get("k")).Result)
+	})
+}
+
+func TestBackOffHasFullJitter(t *testing.T) {
+	client := NewClient(Settings{}, nil)
+	const samples = 2000
+	for retry := range 6 {
+		upper := min(DefaultBackOffMin<<retry, DefaultBackOffMax)
+		low, high := upper, time.Duration(0)
+		for range samples {
+			delays := client.newBackOff()
+			var d time.Duration
+			for range retry + 1 {
+				d = delays.NextBackOff()
+			}
+			low, high = min(low, d), max(high, d)
+		}
+		require.LessOrEqual(t, high, upper+time.Nanosecond)
+		require.Greater(t, high, upper*9/10)
+		require.Less(t, low, upper/10)
+	}
+}
+
+func TestWatchResumesWhereItWas(t *testing.T) {
+	underFaults(t, Settings{}, func(t *testing.T, o *outage) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var got []string
+		handled := make(chan struct{})
+		go func() {
+			defer close(handled)
+			o.client.Watch(ctx, "k", 0, 0, func(p objects.Page) bool {
+				for _, object := range p.Objects {
+					got = append(got, string(object.Value))
+				}
+				return len(got) < 5
+			})
+		}()
+		writer := o.newClient(Settings{})
+		for i := range 5 {
+			o.store.inject(lostAnswer, slowAnswer, unavailable, garbled, rateLimited)
+			time.Sleep(30 * time.Second)
+			value := string(rune('1' + i))
+			require.Equal(t, objects.ResultOK, writer.Do(t.Context(), put("k", uint64(i), value)).Result)
+			time.Sleep(30 * time.Second)
+		}
+		<-handled
+		cancel()
+		writer.Close()
+		require.Equal(t, []string{"1", "2", "3", "4", "5"}, got)
+	})
+}
--- a/internal/transport/platform/store_test.go
+++ b/internal/transport/platform/store_test.go
@@ -22,11 +22,15 @@
 	mu       sync.Mutex
 	objects  map[string]objects.Object
 	revision uint64
+	// writes counts the writes of each value.
+	writes   map[string]int
 	faults   []fault
 	requests []string
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{objects: make(map[string]objects.Object)} }
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: make(map[string]objects.Object), writes: make(map[string]int)}
+}
 
 func (s *fakeStore) inject(faults ...fault) {
 	s.mu.Lock()
@@ -34,19 +38,33 @@
 	s.faults = append(s.faults, faults...)
 }
 
-// seen returns how many requests of a method arrived.
+// seen returns how many requests of a method arrived; of any for none.
 func (s *fakeStore) seen(method string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
 	for _, m := range s.requests {
-		if m == method {
+		if method == "" || m == method {
 			n++
 		}
 	}
 	return n
 }
 
+// version returns the current version of an object.
+func (s *fakeStore) version(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[key].Version
+}
+
+// written returns how often a value was written.
+func (s *fakeStore) written(value string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes[value]
+}
+
 func (s *fakeStore) nextFault(method string) fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,6 +123,7 @@
 		return
 	}
 	s.revision++
+	s.writes[string(body)]++
 	current = objects.Object{Key: key, Version: current.Version + 1, Revision: s.revision, Value: body}
 	s.objects[key] = current
 	_ = json.NewEncoder(w).Encode(current)
