--- a/internal/transport/platform/fault_test.go
+++ b/internal/transport/platform/fault_test.go
@@ -165,6 +165,12 @@
 	return true
 }
 
+// delayed lets the request through after a while.
+func delayed(http.ResponseWriter, *http.Request, func()) bool {
+	time.Sleep(DefaultTimeout / 2)
+	return false
+}
+
 // healthy lets the request through.
 func healthy(http.ResponseWriter, *http.Request, func()) bool { return false }
 
--- a/internal/transport/platform/idempotent_test.go
+++ b/internal/transport/platform/idempotent_test.go
@@ -33,6 +33,7 @@
 		"answer lost":              {func(*outage) []fault { return []fault{lostAnswer} }, objects.ResultOK, 1},
 		"slow":                     {func(*outage) []fault { return []fault{slowAnswer} }, objects.ResultOK, 1},
 		"runs late":                {func(*outage) []fault { return []fault{lateRun} }, objects.ResultOK, 1},
+		"runs after the read":      {func(*outage) []fault { return []fault{lateRun, healthy, delayed} }, objects.ResultOK, 1},
 		"answer lost twice":        {func(*outage) []fault { return []fault{lostRequest, healthy, lostAnswer} }, objects.ResultOK, 1},
 		"answer lost, read fails":  {func(*outage) []fault { return []fault{lostAnswer, garbled, garbled, garbled} }, objects.ResultUnknown, 1},
 		"overwritten by another":   {func(o *outage) []fault { return []fault{overwritten(o)} }, objects.ResultUnknown, 2},
@@ -56,7 +57,7 @@
 // random faults: OK means that the write is in the history exactly once,
 // conflict and refused mean that it is not.
 func TestOutcomesOfRacingWritesAreTrue(t *testing.T) {
-	faults := []fault{healthy, lostRequest, lostAnswer, slowAnswer, lateRun, garbled, unavailable, rateLimited}
+	faults := []fault{healthy, delayed, lostRequest, lostAnswer, slowAnswer, lateRun, garbled, unavailable, rateLimited}
 	rapid.Check(t, func(rt *rapid.T) {
 		picks := rapid.SliceOfN(rapid.IntRange(0, len(faults)-1), 0, 40).Draw(rt, "faults")
 		synctest.Test(t, func(t *testing.T) {
