Test membership under pauses, restarts, cuts, stale news and lagging lists

Two faults found by these tests and mended: a host restarted with its old incarnation and new addresses was not noticed (it is now told, and raises its incarnation), and domains that no list joins never met (a message to another domain now introduces one live host of a third).

--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -15,7 +15,7 @@
 		Incarnation: g.Incarnation,
 		Version:     g.Version,
 	})
-	m.noteOutdated(from.ID, g.Incarnation)
+	m.noteOutdated(from, g.Incarnation)
 	for _, e := range g.Entries {
 		m.apply(from, e)
 	}
@@ -23,11 +23,15 @@
 }
 
 // noteOutdated remembers that a host speaks with an incarnation that is lower
-// than what is known of it, so that the next message tells it.
-func (m *Machine) noteOutdated(id state.HostID, incarnation uint64) {
-	if known := m.table.get(id); known != nil {
-		known.outdated = known.incarnation > incarnation
+// than what is known of it, or the same with other addresses: a restarted host
+// that the next message makes raise its incarnation.
+func (m *Machine) noteOutdated(from state.Host, incarnation uint64) {
+	known := m.table.get(from.ID)
+	if known == nil {
+		return
 	}
+	moved := known.incarnation == incarnation && known.host != from
+	known.outdated = known.incarnation > incarnation || moved
 }
 
 // apply takes in one entry.
@@ -65,7 +69,8 @@
 	if e.Incarnation < m.incarnation {
 		return
 	}
-	if e.Incarnation == m.incarnation && e.Status == state.HostAlive {
+	moved := e.Host.Control.IsValid() && e.Host != m.self
+	if e.Incarnation == m.incarnation && e.Status == state.HostAlive && !moved {
 		return
 	}
 	m.incarnation = e.Incarnation + 1
--- a/internal/coordination/membership/domains.go
+++ b/internal/coordination/membership/domains.go
@@ -88,6 +88,19 @@
 	return entries
 }
 
+// introduction adds a live host of a third domain in turn, so that domains that
+// do not know each other meet.
+func (m *Machine) introduction(entries []Entry, to state.Host) []Entry {
+	third := m.table.filter(func(k *member) bool {
+		return k.status == state.HostAlive && k.host.Domain != m.self.Domain && k.host.Domain != to.Domain
+	})
+	if len(third) == 0 {
+		return entries
+	}
+	m.thirdTurn = (m.thirdTurn + 1) % len(third)
+	return m.appendEntry(entries, third[m.thirdTurn].host.ID, to.ID)
+}
+
 // ownDigest sums up this host's domain.
 func (m *Machine) ownDigest() Digest {
 	d := Digest{
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -58,6 +58,7 @@
 		return g
 	}
 	g.Entries = m.contactEntries(g.Entries, to.ID)
+	g.Entries = m.introduction(g.Entries, to)
 	g.Digest = m.ownDigest()
 	return g
 }
--- a/internal/coordination/membership/link_test.go
+++ b/internal/coordination/membership/link_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"net/rpc"
 	"slices"
 	"testing"
 	"time"
@@ -36,9 +37,7 @@
 	nextTick time.Time
 	held     []flight
 	sent     int
-	bytes    int
-	encoder  *gob.Encoder
-	buffer   *bytes.Buffer
+	wire     *wire
 }
 
 // link joins machines under virtual time.
@@ -55,7 +54,10 @@
 	delay   time.Duration
 	jitter  time.Duration
 	cut     func(from, to state.Host) bool
-	measure bool
+	// deaths counts verdicts of death on running hosts since watchDeaths.
+	deaths   int
+	watching bool
+	believed map[[2]state.HostID]bool
 }
 
 func newLink(t *testing.T, seed uint64) *link {
@@ -86,8 +88,6 @@
 func (l *link) add(h state.Host, incarnation uint64, seeds ...state.Host) *node {
 	rng := rand.New(rand.NewPCG(l.seed, uint64(len(l.nodes)+100)))
 	n := &node{host: h, machine: New(h, incarnation, rng)}
-	n.buffer = &bytes.Buffer{}
-	n.encoder = gob.NewEncoder(n.buffer)
 	n.machine.Seed(l.now, seeds)
 	n.nextTick = l.now.Add(time.Duration(rng.Int64N(int64(tickInterval))))
 	l.nodes = slices.DeleteFunc(l.nodes, func(o *node) bool { return o.host.ID == h.ID })
@@ -118,22 +118,54 @@
 	return nil
 }
 
-// envelope stands for what the rpc edge adds to a message.
+// envelope and ack stand for what the rpc edge sends with a message.
 type envelope struct {
 	Version int
 	From    state.Host
 	Message any
 }
 
+type ack struct {
+	Accepted bool
+	Reason   string
+}
+
+// wire measures what a host writes to its connections: net/rpc requests with
+// their envelopes, and the responses to the requests it receives.
+type wire struct {
+	buffer  bytes.Buffer
+	encoder *gob.Encoder
+	seq     uint64
+}
+
+func newWire() *wire {
+	w := &wire{}
+	w.encoder = gob.NewEncoder(&w.buffer)
+	return w
+}
+
+func (w *wire) request(from state.Host, m message.Message) {
+	w.seq++
+	w.encode(rpc.Request{ServiceMethod: "Peer.Deliver", Seq: w.seq}, envelope{1, from, m})
+}
+
+func (w *wire) response() {
+	w.encode(rpc.Response{ServiceMethod: "Peer.Deliver", Seq: w.seq}, ack{Accepted: true})
+}
+
+func (w *wire) encode(parts ...any) {
+	for _, p := range parts {
+		if err := w.encoder.Encode(p); err != nil {
+			panic(err)
+		}
+	}
+}
+
 func (l *link) post(from *node, out []message.Outgoing) {
 	for _, o := range out {
 		from.sent++
-		if l.measure {
-			before := from.buffer.Len()
-			if err := from.encoder.Encode(envelope{1, from.host, o.Message}); err != nil {
-				l.t.Fatal(err)
-			}
-			from.bytes += from.buffer.Len() - before
+		if from.wire != nil {
+			from.wire.request(from.host, o.Message)
 		}
 		copies := 1
 		if l.rng.Float64() < l.repeat {
@@ -160,6 +192,7 @@
 			}
 			n.nextTick = l.now.Add(tickInterval)
 			l.post(n, n.machine.Tick(l.now))
+			l.countDeaths(n)
 		}
 	}
 }
@@ -191,6 +224,9 @@
 		n.held = append(n.held, f)
 		return
 	}
+	if n.wire != nil {
+		n.wire.response()
+	}
 	l.post(n, n.machine.Receive(l.now, f.from, f.msg))
 }
 
@@ -204,6 +240,26 @@
 	}
 }
 
+// watchDeaths starts counting wrong verdicts of death.
+func (l *link) watchDeaths() {
+	l.watching = true
+	l.deaths = 0
+	l.believed = make(map[[2]state.HostID]bool)
+}
+
+func (l *link) countDeaths(n *node) {
+	if !l.watching {
+		return
+	}
+	n.machine.table.each(func(k *member) {
+		pair := [2]state.HostID{n.host.ID, k.host.ID}
+		if k.dead() && !l.believed[pair] && !l.node(k.host.ID).killed {
+			l.deaths++
+		}
+		l.believed[pair] = k.dead()
+	})
+}
+
 // sees returns the status of a host in another's view, HostDead if absent.
 func (l *link) sees(observer, subject state.HostID) state.HostStatus {
 	for _, m := range l.node(observer).machine.View().Members {
@@ -237,6 +293,34 @@
 	return true
 }
 
+// complete tells whether every running host sees all hosts of its own domain
+// and all contacts of the others.
+func (l *link) complete() bool {
+	sizes := make(map[state.DomainID]int)
+	for _, n := range l.nodes {
+		sizes[n.host.Domain]++
+	}
+	for _, n := range l.nodes {
+		for d, size := range sizes {
+			want := min(size, MaxContacts)
+			if d == n.host.Domain {
+				want = size - 1
+			}
+			if len(n.machine.contacts(d)) != want {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// quiet tells whether no host has a recent change left to pass on to a peer.
+func (l *link) quiet() bool {
+	return !slices.ContainsFunc(l.nodes, func(n *node) bool {
+		return n.machine.domainSize() > 1 && len(n.machine.updates.queue) > 0
+	})
+}
+
 // until runs until the condition holds and returns how long that took.
 func (l *link) until(limit time.Duration, condition func() bool) (time.Duration, bool) {
 	start := l.now
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -38,6 +38,7 @@
 
 	refresh       int
 	contactTurn   int
+	thirdTurn     int
 	digestTurn    int
 	nextReconnect time.Time
 
--- a/internal/coordination/membership/machine_test.go
+++ b/internal/coordination/membership/machine_test.go
@@ -7,30 +7,221 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
 const seeds = 5
 
-func TestHostsJoinAndSeeEachOther(t *testing.T) {
+// overSeeds runs a scenario on today's largest layout: seven hosts in four
+// domains that have joined.
+func overSeeds(t *testing.T, scenario func(t *testing.T, l *link)) {
 	for seed := range uint64(seeds) {
 		l := newLink(t, seed)
 		l.domains(2, 2, 2, 1)
-		took, ok := l.until(10*time.Second, l.allAlive)
-		require.True(t, ok, "seed %d", seed)
-		t.Logf("all joined after %v", took)
+		_, ok := l.until(10*time.Second, l.complete)
+		require.True(t, ok)
+		l.run(5 * time.Second)
+		scenario(t, l)
 	}
 }
 
+func TestHostsJoinAndSeeEachOther(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		require.True(t, l.allAlive())
+		require.Len(t, l.node("host-4-000").machine.View().Members, 7)
+	})
+}
+
+func TestViewStaysTheSameUntilSomethingChanges(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		m := l.node("host-1-000").machine
+		before := m.View()
+		l.run(10 * time.Second)
+		require.Equal(t, before.Epoch, m.View().Epoch)
+		require.Same(t, &before.Members[0], &m.View().Members[0])
+	})
+}
+
 func TestKilledHostLeavesEveryView(t *testing.T) {
-	for seed := range uint64(seeds) {
-		for _, victim := range []state.HostID{"host-1-000", "host-4-000"} {
-			l := newLink(t, seed)
-			l.domains(2, 2, 2, 1)
-			l.run(10 * time.Second)
+	for _, victim := range []state.HostID{"host-1-000", "host-4-000"} {
+		overSeeds(t, func(t *testing.T, l *link) {
 			l.node(victim).killed = true
 			took, ok := l.until(20*time.Second, func() bool { return l.agree(victim, state.HostDead) })
-			require.True(t, ok, "seed %d", seed)
-			t.Logf("seed %d: %s gone from every view after %v", seed, victim, took)
+			require.True(t, ok)
+			t.Logf("%s gone from every view after %v", victim, took)
+			l.run(2 * TombstoneRetention)
+			require.True(t, l.agree(victim, state.HostDead))
+		})
+	}
+}
+
+func TestPausedHostReturnsWithAHigherIncarnation(t *testing.T) {
+	for _, victim := range []state.HostID{"host-1-000", "host-4-000"} {
+		overSeeds(t, func(t *testing.T, l *link) {
+			n := l.node(victim)
+			before := n.machine.Incarnation()
+			n.paused = true
+			_, ok := l.until(20*time.Second, func() bool { return l.agree(victim, state.HostDead) })
+			require.True(t, ok)
+			l.resume(n)
+			took, ok := l.until(10*time.Second, l.allAlive)
+			require.True(t, ok)
+			t.Logf("%s back in every view after %v", victim, took)
+			require.Greater(t, n.machine.Incarnation(), before)
+		})
+	}
+}
+
+func TestResumedHostDoesNotTakeItsPauseForTheSilenceOfOthers(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		n := l.node("host-1-000")
+		n.paused = true
+		l.run(time.Minute)
+		n.held = nil
+		l.resume(n)
+		for range 500 {
+			l.run(10 * time.Millisecond)
+			for _, other := range l.nodes {
+				require.NotEqual(t, state.HostDead, l.sees(n.host.ID, other.host.ID))
+			}
 		}
+	})
+}
+
+func TestRestartedHostReplacesItsFormerSelf(t *testing.T) {
+	for _, incarnation := range []uint64{0, 1, 1000} {
+		overSeeds(t, func(t *testing.T, l *link) {
+			moved := testHost(1, 0)
+			moved.Relay = moved.Packets
+			l.node(moved.ID).machine.SetReleaseVersion(7)
+			l.run(5 * time.Second)
+			l.add(moved, incarnation, testHost(2, 0))
+			_, ok := l.until(20*time.Second, func() bool {
+				seen := l.node("host-4-000").machine.table.get(moved.ID)
+				return l.complete() && l.allAlive() && seen.host == moved && seen.version == 0
+			})
+			require.True(t, ok, "incarnation %d", incarnation)
+		})
+	}
+}
+
+func TestLeavingHostIsSeenLeavingUntilItIsGone(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		n := l.node("host-2-001")
+		l.post(n, n.machine.Leave(l.now))
+		require.Empty(t, n.machine.Leave(l.now), "announced once")
+		took, ok := l.until(3*time.Second, func() bool { return l.agree(n.host.ID, state.HostLeaving) })
+		require.True(t, ok, "no new work after at most 3 s")
+		t.Logf("leaving in every view after %v", took)
+		l.run(30 * time.Second)
+		require.True(t, l.agree(n.host.ID, state.HostLeaving))
+		n.killed = true
+		_, ok = l.until(20*time.Second, func() bool { return l.agree(n.host.ID, state.HostDead) })
+		require.True(t, ok)
+	})
+}
+
+func TestOneWayCutInsideADomainIsBridgedByOthers(t *testing.T) {
+	for seed := range uint64(seeds) {
+		l := newLink(t, seed)
+		l.domains(3, 1)
+		_, ok := l.until(10*time.Second, l.complete)
+		require.True(t, ok)
+		a, b := testHost(1, 0), testHost(1, 1)
+		l.cut = func(from, to state.Host) bool { return from.ID == a.ID && to.ID == b.ID }
+		l.watchDeaths()
+		l.run(5 * time.Minute)
+		require.Zero(t, l.deaths, "a third host reaches both")
 	}
 }
+
+func TestCutOffDomainsLeaveTheViewAndReturn(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		l.cut = func(from, to state.Host) bool {
+			return from.Domain != to.Domain && (from.Domain == "domain-1" || to.Domain == "domain-1")
+		}
+		l.watchDeaths()
+		took, ok := l.until(20*time.Second, func() bool {
+			return len(l.node("host-1-000").machine.View().Members) == 2 &&
+				len(l.node("host-4-000").machine.View().Members) == 5
+		})
+		require.True(t, ok)
+		t.Logf("cut seen on both sides after %v", took)
+		l.run(10 * time.Minute)
+		require.Equal(t, state.HostAlive, l.sees("host-1-000", "host-1-001"), "the domain itself stays whole")
+		l.cut = func(_, _ state.Host) bool { return false }
+		took, ok = l.until(20*time.Second, l.allAlive)
+		require.True(t, ok)
+		t.Logf("whole again after %v", took)
+	})
+}
+
+func TestStaleNewsDoesNotReviveTheDead(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		victim := testHost(1, 0)
+		old := l.node("host-1-001").machine.gossipFor(testHost(2, 0))
+		old.Entries = []Entry{l.node("host-1-001").machine.table.get(victim.ID).entry()}
+		l.node(victim.ID).killed = true
+		_, ok := l.until(20*time.Second, func() bool { return l.agree(victim.ID, state.HostDead) })
+		require.True(t, ok)
+		for range 20 {
+			l.run(3 * time.Second)
+			for _, n := range l.nodes {
+				n.machine.Receive(l.now, testHost(1, 1), Ack{Gossip: old})
+				n.machine.Receive(l.now, victim, Ack{Gossip: Gossip{Incarnation: 1}})
+			}
+			require.True(t, l.agree(victim.ID, state.HostDead))
+		}
+	})
+}
+
+func TestLaggingListNeitherRevivesNorRemoves(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		dead, alive := testHost(1, 0), testHost(3, 1)
+		list := objects.HostList{Hosts: []objects.ListedHost{{Host: dead}, {Host: alive, Leaving: true}}}
+		l.node(dead.ID).killed = true
+		started := l.now
+		for l.now.Sub(started) < 2*TombstoneRetention {
+			for _, n := range l.nodes {
+				n.machine.HostList(l.now, list)
+			}
+			l.run(5 * time.Second)
+			require.True(t, l.agree(alive.ID, state.HostAlive))
+		}
+		require.True(t, l.agree(dead.ID, state.HostDead))
+		require.Len(t, l.node("host-4-000").machine.View().Members, 6, "hosts that the list lacks stay")
+	})
+}
+
+func TestListIntroducesAHost(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		added := l.add(testHost(5, 0), 1)
+		l.run(10 * time.Second)
+		require.Equal(t, state.HostDead, l.sees("host-1-000", added.host.ID))
+		list := objects.HostList{Hosts: []objects.ListedHost{{Host: added.host}}}
+		l.node("host-1-000").machine.HostList(l.now, list)
+		l.node("host-2-000").machine.HostList(l.now, list)
+		_, ok := l.until(30*time.Second, func() bool { return l.agree(added.host.ID, state.HostAlive) })
+		require.True(t, ok)
+	})
+}
+
+func TestReleaseVersionsSpread(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		for _, n := range l.nodes {
+			n.machine.SetReleaseVersion(9)
+		}
+		took, ok := l.until(30*time.Second, func() bool {
+			for _, n := range l.nodes {
+				for _, v := range n.machine.ReleaseVersions() {
+					if v.Version != 9 {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		require.True(t, ok)
+		t.Logf("all versions known to all after %v", took)
+	})
+}
