--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -55,13 +55,18 @@
 	m.merge(known, e)
 }
 
-// mayJudge tells whether the sender's verdict counts: hosts of one domain judge
-// each other, and another domain's hosts are judged there or by this domain.
+// mayJudge tells whether the sender's verdict counts. Suspicion counts inside
+// this domain only: the refutation may take longer to come from another domain
+// than the suspicion lasts. Death counts from this domain and from the dead
+// host's own.
 func (m *Machine) mayJudge(from state.Host, e Entry) bool {
-	if e.Status == state.HostAlive {
-		return true
+	switch e.Status {
+	case state.HostSuspect:
+		return from.Domain == m.self.Domain
+	case state.HostDead:
+		return from.Domain == m.self.Domain || from.Domain == e.Host.Domain
 	}
-	return from.Domain == m.self.Domain || from.Domain == e.Host.Domain
+	return true
 }
 
 // refute answers a belief about this host that is newer than its own.
--- /dev/null
+++ b/internal/coordination/membership/detect_test.go
@@ -0,0 +1,104 @@
+package membership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// maxDetection is the time in which a killed host must have left every view at
+// today's sizes; packets for it are lost until then.
+const maxDetection = 5 * time.Second
+
+// detection kills one host and returns when the first and the last running host
+// dropped it.
+func detection(t *testing.T, seed uint64, victim state.HostID, sizes ...int) (first, last time.Duration) {
+	l := newLink(t, seed)
+	l.domains(sizes...)
+	_, ok := l.until(time.Minute, l.complete)
+	require.True(t, ok)
+	l.run(5*time.Second + time.Duration(seed)*17*time.Millisecond)
+	l.node(victim).killed = true
+	first, ok = l.until(time.Minute, func() bool {
+		return slices.ContainsFunc(l.nodes, func(n *node) bool {
+			return !n.killed && l.sees(n.host.ID, victim) == state.HostDead
+		})
+	})
+	require.True(t, ok)
+	rest, ok := l.until(time.Minute, func() bool { return l.agree(victim, state.HostDead) })
+	require.True(t, ok)
+	return first, first + rest
+}
+
+func TestTimeToDetectAKilledHost(t *testing.T) {
+	cases := []struct {
+		name   string
+		victim state.HostID
+		runs   uint64
+		today  bool
+		sizes  []int
+	}{
+		{"seven hosts in three domains, one of three", "host-1-000", 100, true, []int{3, 2, 2}},
+		{"seven hosts in four domains, one of two", "host-1-000", 100, true, []int{2, 2, 2, 1}},
+		{"seven hosts in four domains, the only one", "host-4-000", 100, true, []int{2, 2, 2, 1}},
+		{"thirty hosts in one domain", "host-1-000", 20, false, []int{30}},
+		{"a hundred hosts in one domain", "host-1-000", 5, false, []int{100}},
+	}
+	for _, c := range cases {
+		var firsts, lasts []time.Duration
+		for seed := range c.runs {
+			first, last := detection(t, seed, c.victim, c.sizes...)
+			firsts = append(firsts, first)
+			lasts = append(lasts, last)
+		}
+		slices.Sort(firsts)
+		slices.Sort(lasts)
+		n := len(lasts)
+		t.Logf("%s, %d seeds: first view median %v; every view median %v, 95%% %v, worst %v",
+			c.name, n, firsts[n/2], lasts[n/2], lasts[n*95/100], lasts[n-1])
+		if c.today {
+			require.LessOrEqual(t, lasts[n-1], maxDetection, c.name)
+		}
+	}
+}
+
+// lossRuns is the number of seeds, one hour of seven hosts each.
+const lossRuns = 3
+
+func TestNoHostIsTakenForDeadUnderLoss(t *testing.T) {
+	for _, loss := range []float64{0.005, 0.05} {
+		for _, sizes := range [][]int{{3, 2, 2}, {2, 2, 2, 1}, {7}} {
+			deaths, suspicions := 0, 0
+			for seed := range uint64(lossRuns) {
+				l := newLink(t, seed)
+				l.domains(sizes...)
+				_, ok := l.until(time.Minute, l.complete)
+				require.True(t, ok)
+				l.loss = loss
+				l.watchDeaths()
+				l.run(time.Hour)
+				deaths += l.deaths
+				suspicions += l.suspicions
+			}
+			t.Logf("loss %.1f %%, %v: %d host hours, %d suspicions, %d wrong verdicts of death", loss*100, sizes, 7*lossRuns, suspicions, deaths)
+			require.Zero(t, deaths)
+		}
+	}
+}
+
+func TestRepeatedAndReorderedMessagesDoNoHarm(t *testing.T) {
+	overSeeds(t, func(t *testing.T, l *link) {
+		l.repeat = 0.3
+		l.jitter = 150 * time.Millisecond
+		l.watchDeaths()
+		l.run(10 * time.Minute)
+		require.Zero(t, l.deaths)
+		l.node("host-1-000").killed = true
+		_, ok := l.until(30*time.Second, func() bool { return l.agree("host-1-000", state.HostDead) })
+		require.True(t, ok)
+	})
+}
--- a/internal/coordination/membership/domains.go
+++ b/internal/coordination/membership/domains.go
@@ -78,7 +78,9 @@
 
 // contactEntries adds some of this domain's contacts in turn.
 func (m *Machine) contactEntries(entries []Entry, to state.HostID) []Entry {
-	own := m.table.filter(func(k *member) bool { return k.host.Domain == m.self.Domain })
+	own := m.table.filter(func(k *member) bool {
+		return k.host.Domain == m.self.Domain && k.status != state.HostSuspect
+	})
 	slices.SortFunc(own, byContactRank)
 	own = own[:min(len(own), MaxContacts)]
 	for range min(MaxUpdates, len(own)) {
--- a/internal/coordination/membership/link_test.go
+++ b/internal/coordination/membership/link_test.go
@@ -1,13 +1,11 @@
 package membership
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/gob"
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"net/rpc"
 	"slices"
 	"testing"
 	"time"
@@ -28,6 +26,31 @@
 	msg      message.Message
 }
 
+// flights is a heap by time of arrival.
+type flights []flight
+
+// Len implements heap.Interface.
+func (f flights) Len() int { return len(f) }
+
+// Less implements heap.Interface.
+func (f flights) Less(i, j int) bool {
+	return cmp.Or(f[i].at.Compare(f[j].at), cmp.Compare(f[i].order, f[j].order)) < 0
+}
+
+// Swap implements heap.Interface.
+func (f flights) Swap(i, j int) { f[i], f[j] = f[j], f[i] }
+
+// Push implements heap.Interface.
+func (f *flights) Push(x any) { *f = append(*f, x.(flight)) }
+
+// Pop implements heap.Interface.
+func (f *flights) Pop() any {
+	last := len(*f) - 1
+	x := (*f)[last]
+	*f = (*f)[:last]
+	return x
+}
+
 // node is one machine on the link.
 type node struct {
 	host     state.Host
@@ -47,7 +70,8 @@
 	rng     *rand.Rand
 	now     time.Time
 	nodes   []*node
-	flights []flight
+	byID    map[state.HostID]*node
+	flights flights
 	order   int
 	loss    float64
 	repeat  float64
@@ -55,9 +79,11 @@
 	jitter  time.Duration
 	cut     func(from, to state.Host) bool
 	// deaths counts verdicts of death on running hosts since watchDeaths.
-	deaths   int
-	watching bool
-	believed map[[2]state.HostID]bool
+	// and suspicions those of suspicion.
+	deaths     int
+	suspicions int
+	watching   bool
+	believed   map[[2]state.HostID]state.HostStatus
 }
 
 func newLink(t *testing.T, seed uint64) *link {
@@ -67,6 +93,7 @@
 		seed:   seed,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
 		now:    epoch,
+		byID:   make(map[state.HostID]*node),
 		delay:  time.Millisecond,
 		jitter: time.Millisecond,
 		cut:    func(_, _ state.Host) bool { return false },
@@ -92,6 +119,7 @@
 	n.nextTick = l.now.Add(time.Duration(rng.Int64N(int64(tickInterval))))
 	l.nodes = slices.DeleteFunc(l.nodes, func(o *node) bool { return o.host.ID == h.ID })
 	l.nodes = append(l.nodes, n)
+	l.byID[h.ID] = n
 	return n
 }
 
@@ -109,57 +137,14 @@
 }
 
 func (l *link) node(id state.HostID) *node {
-	for _, n := range l.nodes {
-		if n.host.ID == id {
-			return n
-		}
+	n, ok := l.byID[id]
+	if !ok {
+		l.t.Fatalf("no host %s", id)
 	}
-	l.t.Fatalf("no host %s", id)
-	return nil
-}
-
-// envelope and ack stand for what the rpc edge sends with a message.
-type envelope struct {
-	Version int
-	From    state.Host
-	Message any
-}
-
-type ack struct {
-	Accepted bool
-	Reason   string
-}
-
-// wire measures what a host writes to its connections: net/rpc requests with
-// their envelopes, and the responses to the requests it receives.
-type wire struct {
-	buffer  bytes.Buffer
-	encoder *gob.Encoder
-	seq     uint64
-}
-
-func newWire() *wire {
-	w := &wire{}
-	w.encoder = gob.NewEncoder(&w.buffer)
-	return w
-}
-
-func (w *wire) request(from state.Host, m message.Message) {
-	w.seq++
-	w.encode(rpc.Request{ServiceMethod: "Peer.Deliver", Seq: w.seq}, envelope{1, from, m})
+	return n
 }
 
-func (w *wire) response() {
-	w.encode(rpc.Response{ServiceMethod: "Peer.Deliver", Seq: w.seq}, ack{Accepted: true})
-}
-
-func (w *wire) encode(parts ...any) {
-	for _, p := range parts {
-		if err := w.encoder.Encode(p); err != nil {
-			panic(err)
-		}
-	}
-}
+func (n *node) running() bool { return !n.killed && !n.paused }
 
 func (l *link) post(from *node, out []message.Outgoing) {
 	for _, o := range out {
@@ -177,49 +162,61 @@
 			}
 			delay := l.delay + time.Duration(l.rng.Int64N(int64(l.jitter)))
 			l.order++
-			l.flights = append(l.flights, flight{l.now.Add(delay), l.order, from.host, o.To, o.Message})
+			heap.Push(&l.flights, flight{l.now.Add(delay), l.order, from.host, o.To, o.Message})
 		}
 	}
 }
 
-// run lets time pass in steps of a millisecond.
+// run lets time pass from one event to the next.
 func (l *link) run(d time.Duration) {
-	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(time.Millisecond) {
+	end := l.now.Add(d)
+	for {
+		next := l.nextEvent()
+		if !next.Before(end) {
+			break
+		}
+		l.now = next
 		l.deliver()
-		for _, n := range l.nodes {
-			if n.killed || n.paused || l.now.Before(n.nextTick) {
-				continue
-			}
-			n.nextTick = l.now.Add(tickInterval)
-			l.post(n, n.machine.Tick(l.now))
-			l.countDeaths(n)
+		l.tick()
+	}
+	l.now = end
+}
+
+func (l *link) nextEvent() time.Time {
+	next := l.now.Add(tickInterval)
+	if len(l.flights) > 0 && l.flights[0].at.Before(next) {
+		next = l.flights[0].at
+	}
+	for _, n := range l.nodes {
+		if n.running() && n.nextTick.Before(next) {
+			next = n.nextTick
 		}
 	}
+	return next
 }
 
-func (l *link) deliver() {
-	var due []flight
-	l.flights = slices.DeleteFunc(l.flights, func(f flight) bool {
-		if f.at.After(l.now) {
-			return false
+func (l *link) tick() {
+	for _, n := range l.nodes {
+		if !n.running() || l.now.Before(n.nextTick) {
+			continue
 		}
-		due = append(due, f)
-		return true
-	})
-	slices.SortFunc(due, func(a, b flight) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.order, b.order))
-	})
-	for _, f := range due {
-		l.hand(f)
+		n.nextTick = l.now.Add(tickInterval)
+		l.post(n, n.machine.Tick(l.now))
+		l.countDeaths(n)
+	}
+}
+
+func (l *link) deliver() {
+	for len(l.flights) > 0 && !l.flights[0].at.After(l.now) {
+		l.hand(heap.Pop(&l.flights).(flight))
 	}
 }
 
 func (l *link) hand(f flight) {
-	i := slices.IndexFunc(l.nodes, func(n *node) bool { return n.host.Control == f.to.Control })
-	if i < 0 || l.nodes[i].killed {
+	n, ok := l.byID[f.to.ID]
+	if !ok || n.killed || n.host.Control != f.to.Control {
 		return
 	}
-	n := l.nodes[i]
 	if n.paused {
 		n.held = append(n.held, f)
 		return
@@ -243,8 +240,8 @@
 // watchDeaths starts counting wrong verdicts of death.
 func (l *link) watchDeaths() {
 	l.watching = true
-	l.deaths = 0
-	l.believed = make(map[[2]state.HostID]bool)
+	l.deaths, l.suspicions = 0, 0
+	l.believed = make(map[[2]state.HostID]state.HostStatus)
 }
 
 func (l *link) countDeaths(n *node) {
@@ -253,10 +250,14 @@
 	}
 	n.machine.table.each(func(k *member) {
 		pair := [2]state.HostID{n.host.ID, k.host.ID}
-		if k.dead() && !l.believed[pair] && !l.node(k.host.ID).killed {
+		changed := k.status != l.believed[pair] && !l.node(k.host.ID).killed
+		if changed && k.dead() {
 			l.deaths++
 		}
-		l.believed[pair] = k.dead()
+		if changed && k.status == state.HostSuspect {
+			l.suspicions++
+		}
+		l.believed[pair] = k.status
 	})
 }
 
@@ -332,9 +333,3 @@
 	}
 	return limit, condition()
 }
-
-func init() {
-	for _, m := range Messages() {
-		gob.RegisterName(fmt.Sprintf("%T", m), m)
-	}
-}
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -40,7 +40,9 @@
 	contactTurn   int
 	thirdTurn     int
 	digestTurn    int
+	suspectTurn   int
 	nextReconnect time.Time
+	nextSuspects  time.Time
 
 	view  state.View
 	stale bool
@@ -71,6 +73,7 @@
 	m.advance(now)
 	m.checkProbes()
 	m.checkSuspicions()
+	m.probeSuspects()
 	m.forgetDead()
 	m.startProbes()
 	m.reconnect()
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -172,7 +172,6 @@
 		return
 	}
 	m.setStatus(known, state.HostSuspect, m.self.ID)
-	m.send(known.host, Probe{Gossip: m.gossipFor(known.host)})
 }
 
 func (m *Machine) onProbe(from state.Host, p Probe) {
--- a/internal/coordination/membership/settings.go
+++ b/internal/coordination/membership/settings.go
@@ -28,6 +28,10 @@
 	// SuspicionConfirmations is the number of other hosts whose own suspicion
 	// shortens it to SuspicionMin.
 	SuspicionConfirmations = 2
+	// SuspectInterval is the time between two rounds of probes to hosts that this
+	// host suspects itself, and MaxSuspectProbes bounds one round.
+	SuspectInterval  = 200 * time.Millisecond
+	MaxSuspectProbes = 2
 	// TombstoneRetention is how long a dead host's entry is kept, so that stale
 	// news does not revive it.
 	TombstoneRetention = 2 * time.Minute
--- a/internal/coordination/membership/suspicion.go
+++ b/internal/coordination/membership/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -31,6 +32,23 @@
 	})
 }
 
+// probeSuspects tells the hosts that this host suspects itself, so that one
+// lost message does not cost a live host its chance to refute.
+func (m *Machine) probeSuspects() {
+	if m.now.Before(m.nextSuspects) {
+		return
+	}
+	m.nextSuspects = m.now.Add(SuspectInterval)
+	suspects := m.table.filter(func(k *member) bool {
+		return k.status == state.HostSuspect && slices.Contains(k.suspectedBy, m.self.ID)
+	})
+	for range min(MaxSuspectProbes, len(suspects)) {
+		m.suspectTurn = (m.suspectTurn + 1) % len(suspects)
+		host := suspects[m.suspectTurn].host
+		m.send(host, Probe{Gossip: m.gossipFor(host)})
+	}
+}
+
 // forgetDead drops the entries of hosts that have been dead for long.
 func (m *Machine) forgetDead() {
 	expired := m.table.filter(func(k *member) bool {
