Measure calls, bytes and delays of releases by size

Cause: platform calls and control bytes must not grow with a domain's hosts. Change: cores in virtual time play releases in one domain of 3 to 100 hosts and in up to 8 domains; the bounds are the design's 4 KB/s and a flat count. A domain's report of what is in force counts its leaving hosts as well.

--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -13,6 +13,10 @@
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
+// versionsInterval is the time between two looks at the versions that
+// membership carries.
+const versionsInterval = time.Second
+
 // Control is the control state of one entry host. It is not safe for
 // concurrent use: one goroutine steps it and reads from it.
 type Control struct {
@@ -27,6 +31,7 @@
 	// listRevision is the revision of the host list given to membership.
 	listRevision uint64
 	epoch        uint32
+	versionsAt   time.Time
 	actions      []Action
 }
 
@@ -78,6 +83,7 @@
 
 func (c *Control) tick(now time.Time) {
 	c.send(c.members.Tick(now))
+	c.shareVersions(now)
 	c.shareView()
 	c.release.Tick(now)
 	c.listing.Tick(now, c.release.Watching(now))
@@ -104,11 +110,20 @@
 	c.release.Answered(now, ev.Call, ev.Outcome)
 }
 
-// shareView tells the other machines what membership believes.
-func (c *Control) shareView() {
+// shareVersions tells the release machine what membership heard to be in force
+// on the other hosts.
+func (c *Control) shareVersions(now time.Time) {
+	if now.Sub(c.versionsAt) < versionsInterval {
+		return
+	}
+	c.versionsAt = now
 	for _, entry := range c.members.ReleaseVersions() {
 		c.release.SetVersion(entry.Host, entry.Version)
 	}
+}
+
+// shareView tells the other machines what membership believes.
+func (c *Control) shareView() {
 	view := c.members.View()
 	if view.Epoch == c.epoch {
 		return
--- a/internal/coordination/control/faults_test.go
+++ b/internal/coordination/control/faults_test.go
@@ -19,6 +19,8 @@
 	end    func(c *cell)
 	// excuses tells which hosts are not connected while the fault lasts.
 	excuses func(c *cell, n *node) bool
+	// away faults keep the excused hosts from all others and the platform.
+	away bool
 }
 
 func (f fault) roles() []string {
@@ -34,7 +36,7 @@
 
 func everyHost(*cell, *node) bool { return true }
 
-func healLink(c *cell) { c.w.link = link{messages: c.w.link.messages} }
+func healLink(c *cell) { c.w.link = link{} }
 
 func healStore(c *cell) {
 	s := c.w.store
@@ -61,7 +63,7 @@
 		end:   func(c *cell) { c.w.boot(c.victim) },
 	},
 	{
-		name: "host paused", atHost: true, excuses: victimOnly,
+		name: "host paused", atHost: true, away: true, excuses: victimOnly,
 		begin: func(c *cell) { c.victim.paused = true },
 		end:   func(c *cell) { c.w.resume(c.victim) },
 	},
@@ -75,7 +77,7 @@
 	{name: "domain cut off from the others", atHost: true, begin: cutLink, end: healLink},
 	{name: "domain cut off from the platform", atHost: true, begin: cutStore, end: healStore},
 	{
-		name: "domain cut off from both", atHost: true, excuses: victimDomain,
+		name: "domain cut off from both", atHost: true, away: true, excuses: victimDomain,
 		begin: func(c *cell) { cutLink(c); cutStore(c) },
 		end:   func(c *cell) { healLink(c); healStore(c) },
 	},
--- a/internal/coordination/control/link_test.go
+++ b/internal/coordination/control/link_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
@@ -14,12 +15,14 @@
 	extraDelay time.Duration
 	// cut tells which messages do not pass, by the domains of both ends.
 	cut func(from, to state.DomainID) bool
-	// messages counts all messages sent.
-	messages int
+	// observe sees every message sent; nil for nobody.
+	observe func(from *node, msg message.Message)
 }
 
 func (l *link) send(w *world, from *node, act Send) {
-	l.messages++
+	if l.observe != nil {
+		l.observe(from, act.Message)
+	}
 	copies := 1
 	if w.rng.Float64() < l.duplicated {
 		copies = 2
--- a/internal/coordination/control/matrix_test.go
+++ b/internal/coordination/control/matrix_test.go
@@ -193,8 +193,15 @@
 	return false
 }
 
-// mayBeUnready tells whether a host that was ready may stop admitting flows.
-func (c *cell) mayBeUnready(n *node) bool { return c.begun && c.excused(n) }
+// mayBeUnready tells whether a host that was ready may stop admitting flows:
+// only one that was away, after its return.
+func (c *cell) mayBeUnready(n *node) bool {
+	away := false
+	for _, f := range c.faults {
+		away = away || (f.away && f.excuses(c, n))
+	}
+	return c.begun && away && !c.w.now.Before(c.healed)
+}
 
 func matrixCells(seeds int, first uint64) []*cell {
 	var cells []*cell
--- /dev/null
+++ b/internal/coordination/control/measure_test.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"encoding/gob"
+	"flag"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/guavawharf/guavawharf/internal/coordination/message"
+	"github.com/guavawharf/guavawharf/internal/coordination/release"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/stretchr/testify/require"
+)
+
+// Targets of the design.
+const (
+	maxControlBytes = 4 << 10
+	// flatFactor is how much a figure may grow from 3 hosts to 100 and still
+	// count as flat.
+	flatFactor = 1.5
+)
+
+var measureReleases = flag.Int("measure.releases", 5, "releases in each measurement")
+
+// meter counts the gob bytes of the messages that hosts send.
+type meter struct {
+	bytes    int
+	messages int
+	encoders map[state.HostID]*gob.Encoder
+}
+
+func newMeter() *meter {
+	for _, msg := range Messages() {
+		gob.Register(msg)
+	}
+	return &meter{encoders: make(map[state.HostID]*gob.Encoder)}
+}
+
+func (m *meter) Write(text []byte) (int, error) {
+	m.bytes += len(text)
+	return len(text), nil
+}
+
+func (m *meter) count(from state.Host, msg message.Message) {
+	encoder := m.encoders[from.ID]
+	if encoder == nil {
+		encoder = gob.NewEncoder(io.Writer(m))
+		m.encoders[from.ID] = encoder
+	}
+	m.messages++
+	if err := encoder.Encode(&msg); err != nil {
+		panic(err)
+	}
+}
+
+// figures are what a run of some releases cost.
+type figures struct {
+	callsPerRelease  float64
+	idleCallsPerHour float64
+	bytesPerHost     float64
+	messagesPerHost  float64
+	delays           *hdrhistogram.Histogram
+}
+
+// measure plays releases, one every ten seconds.
+func measure(t *testing.T, seed uint64, sizes ...int) figures {
+	w := settled(t, seed, release.VariantSound, sizes...)
+	w.run(20 * time.Second)
+	idle := w.store.total
+	w.run(60 * time.Second)
+	result := figures{
+		idleCallsPerHour: float64(w.store.total-idle) * 60,
+		delays:           hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+	}
+	count := newMeter()
+	w.link.observe = func(from *node, msg message.Message) { count.count(from.host, msg) }
+	began, calls := w.now, w.store.total
+	for index := range *measureReleases {
+		version := state.ReleaseVersion(index + 2)
+		w.store.submit(nextNote(fmt.Sprintf("note-%d", version), version-1))
+		require.True(t, w.until(10*time.Second, func() bool { return w.inForce(version) }))
+		for _, at := range w.promises.forcedAt[version] {
+			require.NoError(t, result.delays.RecordValue(at.Sub(w.promises.at[version]).Microseconds()))
+		}
+		w.run(epoch.Add(w.now.Sub(epoch).Truncate(10 * time.Second)).Add(10 * time.Second).Sub(w.now))
+	}
+	seconds := w.now.Sub(began).Seconds()
+	idleCalls := result.idleCallsPerHour / 3600 * seconds
+	result.callsPerRelease = (float64(w.store.total-calls) - idleCalls) / float64(*measureReleases)
+	result.bytesPerHost = float64(count.bytes) / seconds / float64(len(w.nodes))
+	result.messagesPerHost = float64(count.messages) / seconds / float64(len(w.nodes))
+	require.Empty(t, w.promises.broken)
+	return result
+}
+
+func (f figures) log(t *testing.T, name string) {
+	t.Logf("%s: platform calls a release %.1f, idle an hour %.0f; a host sends %.0f B/s in %.1f messages/s; "+
+		"acceptance to in force on a host, ms: p50 %.1f p90 %.1f p99 %.1f max %.1f of %d",
+		name, f.callsPerRelease, f.idleCallsPerHour, f.bytesPerHost, f.messagesPerHost,
+		float64(f.delays.ValueAtQuantile(50))/1000, float64(f.delays.ValueAtQuantile(90))/1000,
+		float64(f.delays.ValueAtQuantile(99))/1000, float64(f.delays.Max())/1000, f.delays.TotalCount())
+}
+
+// TestCostStaysFlat measures what releases cost in one domain of growing size.
+func TestCostStaysFlat(t *testing.T) {
+	small := measure(t, 1, 3)
+	small.log(t, "3 hosts")
+	for _, size := range []int{7, 30, 100} {
+		if testing.Short() && size > 30 {
+			continue
+		}
+		f := measure(t, 1, size)
+		f.log(t, fmt.Sprintf("%d hosts", size))
+		require.Less(t, f.callsPerRelease, small.callsPerRelease*flatFactor, "%d hosts", size)
+		require.Less(t, f.bytesPerHost, float64(maxControlBytes), "%d hosts", size)
+		require.Less(t, time.Duration(f.delays.Max())*time.Microsecond, catchUp, "%d hosts", size)
+	}
+}
+
+// TestCostInManyDomains measures today's sizes and eight domains.
+func TestCostInManyDomains(t *testing.T) {
+	for _, sizes := range [][]int{{3, 2, 2}, {2, 2, 2, 1}, {3, 3, 3, 3, 3, 3, 3, 3}} {
+		f := measure(t, 1, sizes...)
+		f.log(t, fmt.Sprint(sizes))
+		require.Less(t, f.bytesPerHost, float64(maxControlBytes))
+	}
+}
--- a/internal/coordination/control/promises_test.go
+++ b/internal/coordination/control/promises_test.go
@@ -24,7 +24,9 @@
 	broken []string
 	// reached is when each host, in its present run, got release 2 or newer.
 	reached map[state.HostID]time.Time
-	onForce func(n *node, version state.ReleaseVersion)
+	// forcedAt holds when each version came into force on the hosts.
+	forcedAt map[state.ReleaseVersion][]time.Time
+	onForce  func(n *node, version state.ReleaseVersion)
 	// unready tells whether a host that was ready may stop admitting flows; nil
 	// checks nothing.
 	unready func(n *node) bool
@@ -40,6 +42,7 @@
 		notes:    make(map[state.NoteID]objects.Note),
 		staged:   make(map[string]objects.Staged),
 		shown:    make(map[string]state.ReleaseVersion),
+		forcedAt: make(map[state.ReleaseVersion][]time.Time),
 		reached:  make(map[state.HostID]time.Time),
 		ready:    make(map[string]bool),
 	}
@@ -71,6 +74,10 @@
 		var staged objects.Staged
 		mustDecode(object.Value, &staged)
 		p.staged[string(staged.Note.ID)+"/"+string(staged.Domain)] = staged
+	case strings.HasPrefix(object.Key, objects.PrefixInForce):
+		var status objects.InForce
+		mustDecode(object.Value, &status)
+		p.checkStatus(status)
 	}
 }
 
@@ -117,6 +124,17 @@
 	p.domains = append(p.domains, content.AddDomains...)
 }
 
+// checkStatus checks that what a domain reports to be in force is so on all its
+// hosts that run and admit flows.
+func (p *promises) checkStatus(status objects.InForce) {
+	for _, n := range p.w.nodes {
+		serving := n.alive && !n.paused && n.snapshot != nil && n.snapshot.Ready
+		if serving && n.host.Domain == status.Domain && n.snapshot.Version < status.Version {
+			p.fail("%s reports release %d, %s has %d", status.Domain, status.Version, n.host.ID, n.snapshot.Version)
+		}
+	}
+}
+
 // published checks what a host shows to traffic.
 func (p *promises) published(n *node) {
 	if n.snapshot.Ready && n.snapshot.Version == 0 {
@@ -143,8 +161,11 @@
 	if release.Version < p.shown[run] {
 		p.fail("%s fell from release %d to %d", run, p.shown[run], release.Version)
 	}
-	if release.Version > p.shown[run] && p.onForce != nil {
-		p.onForce(n, release.Version)
+	if release.Version > p.shown[run] {
+		p.forcedAt[release.Version] = append(p.forcedAt[release.Version], p.w.now)
+		if p.onForce != nil {
+			p.onForce(n, release.Version)
+		}
 	}
 	if _, ok := p.reached[n.host.ID]; !ok && release.Version >= 2 {
 		p.reached[n.host.ID] = p.w.now
--- a/internal/coordination/control/store_test.go
+++ b/internal/coordination/control/store_test.go
@@ -16,7 +16,8 @@
 	revision uint64
 	objects  map[string]objects.Object
 	watches  []*watch
-	calls    map[objects.Verb]int
+	// total counts the calls.
+	total int
 
 	down        bool
 	slow        time.Duration
@@ -35,7 +36,7 @@
 const callTimeout = time.Second
 
 func newStore(w *world) *store {
-	return &store{w: w, objects: make(map[string]objects.Object), calls: make(map[objects.Verb]int)}
+	return &store{w: w, objects: make(map[string]objects.Object)}
 }
 
 func (s *store) unreachable(n *node) bool { return s.down || slices.Contains(s.cut, n.host.Domain) }
@@ -43,7 +44,7 @@
 // call runs a host's call after a network delay and answers it once.
 func (s *store) call(n *node, act PlatformCall) {
 	run, answered := n.run, false
-	s.calls[act.Call.Verb]++
+	s.total++
 	reply := func(outcome objects.Outcome) {
 		if answered {
 			return
--- a/internal/coordination/release/roster.go
+++ b/internal/coordination/release/roster.go
@@ -50,6 +50,11 @@
 	return hosts
 }
 
+// present returns all hosts of this host's domain, leaving ones included.
+func (r *roster) present() []state.Host {
+	return append(r.peers(true), r.self)
+}
+
 // domains lists the domains with serving hosts, sorted.
 func (r *roster) domains() []state.DomainID {
 	var ids []state.DomainID
--- a/internal/coordination/release/status.go
+++ b/internal/coordination/release/status.go
@@ -195,10 +195,11 @@
 	}
 }
 
-// domainStatus adds up what is in force on this domain's serving hosts. Hosts
-// that hold no release yet take no traffic and only count as behind.
+// domainStatus adds up what is in force on this domain's hosts, leaving ones
+// included. Hosts that hold no release yet take no traffic and only count as
+// behind.
 func (m *Machine) domainStatus(now time.Time) objects.InForce {
-	hosts := m.members.domain(m.settings.Self.Domain)
+	hosts := m.members.present()
 	lowest := m.Version()
 	for _, host := range hosts {
 		if version := m.status.versions[host.ID]; version > 0 {
