Keep withdrawn targets for an hour and drop old table versions

Cause: a record of a flow at a withdrawn target may come to a host from another that leaves or dies; without the target the flow would be cut. Old table versions stayed for ever. A host that holds nothing starts from the checkpoint. Each host keeps its choice of watchers until the view changes.

--- /dev/null
+++ b/internal/coordination/control/carry.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/lookup"
+)
+
+// Times for which old state stays in the snapshots.
+const (
+	// WithdrawnRetention is how long a withdrawn target stays although this host
+	// holds no record of it: records may still come from other hosts.
+	WithdrawnRetention = time.Hour
+	// baseMargin is added to a service's idle timeout before old table versions
+	// are dropped.
+	baseMargin = 10 * time.Second
+	// sweepInterval is the time between two looks for what may be dropped.
+	sweepInterval = 5 * time.Second
+)
+
+// adoption is when this host adopted a release.
+type adoption struct {
+	version state.ReleaseVersion
+	at      time.Time
+}
+
+// history lists the adopted releases, oldest first.
+type history []adoption
+
+// baseFor returns the newest release that has been in force for a time.
+func (h history) baseFor(now time.Time, age time.Duration) state.ReleaseVersion {
+	base := state.ReleaseVersion(0)
+	for _, entry := range h {
+		if now.Sub(entry.at) >= age {
+			base = entry.version
+		}
+	}
+	return base
+}
+
+// carry brings the entries to a release. A withdrawn service stays, without
+// targets of its own, while flows may be open.
+func (p *publisher) carry(now time.Time, release *state.Release) {
+	if len(p.history) > 0 && p.history[len(p.history)-1].version == release.Version {
+		return
+	}
+	p.history = append(p.history, adoption{release.Version, now})
+	if len(p.history) > lookup.MaxTables {
+		p.history = slices.Delete(p.history, 0, 1)
+	}
+	present := make(map[state.ServiceID]bool, len(release.Services))
+	for _, service := range release.Services {
+		present[service.ID] = true
+		p.replace(now, service, release.Version)
+	}
+	for id, entry := range p.entries {
+		if !present[id] && len(entry.Targets) > 0 {
+			withdrawn := entry.Service
+			withdrawn.Targets = nil
+			p.replace(now, withdrawn, release.Version)
+		}
+	}
+}
+
+// replace brings the entry of one service to a release and keeps the targets
+// that have just been withdrawn.
+func (p *publisher) replace(now time.Time, service state.Service, version state.ReleaseVersion) {
+	previous := p.entries[service.ID]
+	next := lookup.Carry(previous, service, version)
+	p.entries[service.ID] = next
+	if previous == nil || next == previous {
+		return
+	}
+	for _, old := range previous.Entries {
+		if index := indexTarget(next.Entries, old.Number); index >= 0 {
+			p.note(now, next.Entries[index])
+			continue
+		}
+		withdrawn := *old
+		withdrawn.Withdrawn = true
+		next.Entries = append(next.Entries, &withdrawn)
+		p.note(now, &withdrawn)
+	}
+}
+
+// note remembers when a target was withdrawn.
+func (p *publisher) note(now time.Time, entry *state.TargetEntry) {
+	if _, known := p.withdrawn[entry.Number]; entry.Withdrawn && !known {
+		p.withdrawn[entry.Number] = now
+	}
+}
+
+func indexTarget(entries []*state.TargetEntry, number state.TargetNumber) int {
+	return slices.IndexFunc(entries, func(entry *state.TargetEntry) bool { return entry.Number == number })
+}
+
+// sweep drops withdrawn targets that nothing refers to any more, and table
+// versions older than every open flow.
+func (p *publisher) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepInterval {
+		return
+	}
+	p.swept = now
+	for id, entry := range p.entries {
+		next := p.sweepTargets(now, entry)
+		if next.IdleTimeout > 0 {
+			next = lookup.DropBase(next, p.history.baseFor(now, next.IdleTimeout+baseMargin))
+		}
+		if next == entry {
+			continue
+		}
+		p.dirty = true
+		p.entries[id] = next
+		if len(next.Entries) == 0 {
+			delete(p.entries, id)
+		}
+	}
+}
+
+// sweepTargets returns the entry without withdrawn targets whose time is up.
+func (p *publisher) sweepTargets(now time.Time, entry *state.ServiceEntry) *state.ServiceEntry {
+	expired := func(target *state.TargetEntry) bool {
+		retained := now.Sub(p.withdrawn[target.Number]) <= WithdrawnRetention
+		return target.Withdrawn && !retained && target.Load.Records.Load() == 0
+	}
+	if !slices.ContainsFunc(entry.Entries, expired) {
+		return entry
+	}
+	next := *entry
+	next.Entries = nil
+	for _, target := range entry.Entries {
+		if expired(target) {
+			delete(p.withdrawn, target.Number)
+			continue
+		}
+		next.Entries = append(next.Entries, target)
+	}
+	return &next
+}
--- a/internal/coordination/control/publish.go
+++ b/internal/coordination/control/publish.go
@@ -7,7 +7,6 @@
 
 	"github.com/guavawharf/guavawharf/internal/coordination/listing"
 	"github.com/guavawharf/guavawharf/internal/state"
-	"github.com/guavawharf/guavawharf/internal/state/lookup"
 )
 
 // publishInput is what a snapshot is made of besides health.
@@ -25,14 +24,23 @@
 	entries map[state.ServiceID]*state.ServiceEntry
 	last    *state.Snapshot
 	dirty   bool
+	history history
+	// withdrawn holds when each withdrawn target was withdrawn.
+	withdrawn map[state.TargetNumber]time.Time
+	swept     time.Time
 }
 
 func newPublisher(self state.Host) publisher {
-	return publisher{self: self, entries: make(map[state.ServiceID]*state.ServiceEntry)}
+	return publisher{
+		self:      self,
+		entries:   make(map[state.ServiceID]*state.ServiceEntry),
+		withdrawn: make(map[state.TargetNumber]time.Time),
+	}
 }
 
 // next returns a new snapshot, or nil when nothing has changed.
 func (p *publisher) next(now time.Time, input publishInput) *state.Snapshot {
+	p.sweep(now)
 	if !p.changed(input) {
 		return nil
 	}
@@ -46,7 +54,7 @@
 		Targets:  make(map[state.TargetNumber]*state.TargetEntry),
 	}
 	if input.release != nil {
-		p.carry(input.release)
+		p.carry(now, input.release)
 		snapshot.Version = input.release.Version
 		snapshot.Customers = input.release.Customers
 	}
@@ -67,32 +75,6 @@
 		input.ready != p.last.Ready || input.leaving != p.last.Leaving
 }
 
-// carry brings the entries to a release. A withdrawn service stays, without
-// targets of its own, while flows may be open.
-func (p *publisher) carry(release *state.Release) {
-	if p.last != nil && p.last.Version == release.Version {
-		return
-	}
-	present := make(map[state.ServiceID]bool, len(release.Services))
-	for _, service := range release.Services {
-		present[service.ID] = true
-		p.entries[service.ID] = lookup.Carry(p.entries[service.ID], service, release.Version)
-	}
-	for id, entry := range p.entries {
-		if present[id] {
-			continue
-		}
-		withdrawn := entry.Service
-		withdrawn.Targets = nil
-		next := lookup.Carry(entry, withdrawn, release.Version)
-		if len(next.Entries) == 0 {
-			delete(p.entries, id)
-			continue
-		}
-		p.entries[id] = next
-	}
-}
-
 // fill indexes the entries by address and target number. A present service
 // takes its address from a withdrawn one.
 func (p *publisher) fill(snapshot *state.Snapshot, release *state.Release) {
--- a/internal/coordination/release/notes.go
+++ b/internal/coordination/release/notes.go
@@ -250,13 +250,14 @@
 	}
 }
 
-// fetchFromPlatform reads the missing notes, or the newest checkpoint.
+// fetchFromPlatform reads the missing notes, or the newest checkpoint if this
+// host holds nothing or the head no longer names all missing notes.
 func (m *Machine) fetchFromPlatform(now time.Time) {
 	if m.head.Version <= m.Version() {
 		return
 	}
 	chain := m.chain()
-	if chain == nil {
+	if chain == nil || (m.current == nil && m.head.Checkpoint > 0) {
 		m.listCheckpoint(now)
 		return
 	}
--- a/internal/coordination/release/roster.go
+++ b/internal/coordination/release/roster.go
@@ -17,13 +17,25 @@
 	serving []state.Host
 	// others holds every other member, leaving ones included.
 	others []state.Host
+	// ranked keeps the watchers found under the present view.
+	ranked map[watchersKey][]state.Host
 }
 
+// watchersKey names a choice of watchers.
+type watchersKey struct {
+	domain state.DomainID
+	salt   string
+}
+
+// maxRanked bounds the choices kept.
+const maxRanked = 64
+
 func newRoster(self state.Host) roster {
 	return roster{self: self, serving: []state.Host{self}}
 }
 
 func (r *roster) setView(view state.View) {
+	r.ranked = nil
 	r.serving = nil
 	r.others = nil
 	for _, member := range view.Members {
@@ -68,9 +80,19 @@
 }
 
 // watchers returns the hosts of a domain that watch the platform, first first.
+// The result is shared.
 func (r *roster) watchers(id state.DomainID, salt string) []state.Host {
+	key := watchersKey{id, salt}
+	if hosts, ok := r.ranked[key]; ok {
+		return hosts
+	}
+	if r.ranked == nil || len(r.ranked) >= maxRanked {
+		r.ranked = make(map[watchersKey][]state.Host)
+	}
 	ranked := rendezvous("watch"+salt, r.domain(id))
-	return ranked[:min(len(ranked), WatchersPerDomain)]
+	hosts := slices.Clone(ranked[:min(len(ranked), WatchersPerDomain)])
+	r.ranked[key] = hosts
+	return hosts
 }
 
 // drivers returns the watchers of all domains in the order for a purpose.
--- /dev/null
+++ b/internal/state/objects/head_test.go
@@ -0,0 +1,65 @@
+package objects
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestHeadKeepsWhatAFreshHostNeeds drives the head through random histories.
+func TestHeadKeepsWhatAFreshHostNeeds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		head := Head{}
+		fates := make(map[state.NoteID]NoteState)
+		for index := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			id := state.NoteID(fmt.Sprintf("note-%d", index))
+			base := head.Version
+			if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+				base++
+			}
+			version := head.Version
+			next, changed := head.Submit(state.Note{ID: id, Base: base}, time.Time{})
+			require.True(t, changed)
+			_, again := next.Submit(state.Note{ID: id, Base: base}, time.Time{})
+			require.False(t, again, "submitting is idempotent")
+			switch {
+			case next.Pending == nil:
+			case rapid.Bool().Draw(t, "accept"):
+				next = next.Accept(time.Time{})
+			default:
+				next = next.Refuse("reason", time.Time{})
+			}
+			require.GreaterOrEqual(t, next.Version, version)
+			if rapid.IntRange(0, 15).Draw(t, "checkpoint") == 0 {
+				next.Checkpoint = next.Version
+			}
+			head = next
+			for _, decision := range head.Decided {
+				if fate, known := fates[decision.Note.ID]; known {
+					require.Equal(t, fate, decision.State)
+				}
+				fates[decision.Note.ID] = decision.State
+			}
+			checkChain(t, head)
+		}
+	})
+}
+
+// checkChain checks that the head names every note accepted since the
+// checkpoint, and little else.
+func checkChain(t *rapid.T, head Head) {
+	named := make(map[state.ReleaseVersion]bool)
+	for _, decision := range head.Decided {
+		if decision.State == NoteAccepted {
+			named[decision.Note.Version] = true
+		}
+	}
+	for version := head.Checkpoint + 1; version <= head.Version; version++ {
+		require.True(t, named[version], "release %d", version)
+	}
+	require.LessOrEqual(t, len(head.Decided), max(MaxDecided, int(head.Version-head.Checkpoint)+1))
+}
