--- a/internal/coordination/control/matrix_test.go
+++ b/internal/coordination/control/matrix_test.go
@@ -30,6 +30,8 @@
 	w      *world
 	driver *node
 	victim *node
+	// chosen is the host to strike, nil to go by the role.
+	chosen *node
 	begun  bool
 	healed time.Time
 }
@@ -104,6 +106,9 @@
 // pick returns the host that plays the role: the driver itself, or one of
 // another domain that watches or does not watch the platform.
 func (c *cell) pick() *node {
+	if c.chosen != nil {
+		return c.chosen
+	}
 	if c.driver == nil {
 		c.driver = c.w.nodes[0]
 	}
--- a/internal/coordination/control/world_test.go
+++ b/internal/coordination/control/world_test.go
@@ -66,6 +66,9 @@
 	promises promises
 	// onCall and onAnswer see each platform call before it runs and after.
 	onCall   func(n *node, call objects.Call)
+	onStep   func()
+	onPassed func(n *node)
+	onAction func(n *node, action Action)
 	onAnswer func(n *node, call objects.Call, outcome objects.Outcome)
 }
 
@@ -167,6 +170,9 @@
 
 func (w *world) step(n *node, event Event) {
 	for _, action := range n.core.Step(w.now, event) {
+		if w.onAction != nil {
+			w.onAction(n, action)
+		}
 		switch act := action.(type) {
 		case Send:
 			w.link.send(w, n, act)
@@ -177,12 +183,20 @@
 			w.promises.published(n)
 		case PassRecordsOn:
 			run := n.run
-			w.after(300*time.Millisecond, func() { w.deliver(n, run, RecordsPassedOn{}) })
+			w.after(300*time.Millisecond, func() {
+				w.deliver(n, run, RecordsPassedOn{})
+				if w.onPassed != nil {
+					w.onPassed(n)
+				}
+			})
 		case Stop:
 			n.alive, n.stopped = false, true
 		}
 	}
 	w.promises.stepped(n)
+	if w.onStep != nil {
+		w.onStep()
+	}
 }
 
 func (w *world) kill(n *node) { n.alive = false }
