Name the flows that broke and log packets of unknown flows

The callers now list the first broken flows with time and cause, the upstreams log each packet of a flow that they do not know.

--- a/cmd/guava-standin/upstream.go
+++ b/cmd/guava-standin/upstream.go
@@ -35,7 +35,7 @@
 		log.Error("upstream.settings_refused", "error", err)
 		return exitUsage
 	}
-	fleet, err := upstream.NewFleet(s.Targets, s.Return)
+	fleet, err := upstream.NewFleet(s.Targets, s.Return, log)
 	if err != nil {
 		log.Error("upstream.listen_failed", "error", err)
 		return exitFailed
--- a/internal/standin/callers/flow.go
+++ b/internal/standin/callers/flow.go
@@ -70,6 +70,13 @@
 	if !c.outcome {
 		c.tally.broken[cause]++
 		c.settle()
+		c.worker.noteBroken(BrokenFlow{
+			Group:     c.script.group.Name,
+			Caller:    c.caller,
+			Cause:     cause,
+			After:     c.endedAt.Sub(c.worker.began),
+			Exchanges: c.script.group.Exchanges - c.script.left,
+		})
 	}
 }
 
--- a/internal/standin/callers/report.go
+++ b/internal/standin/callers/report.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"net/netip"
 	"sort"
 	"time"
 
@@ -34,6 +35,20 @@
 	Count int   `json:"count"`
 }
 
+// BrokenFlow tells where a flow broke.
+type BrokenFlow struct {
+	Group  string         `json:"group"`
+	Caller netip.AddrPort `json:"caller"`
+	Cause  Cause          `json:"cause"`
+	// After is the time since the run began.
+	After time.Duration `json:"after_ns"`
+	// Exchanges were answered before.
+	Exchanges int `json:"exchanges"`
+}
+
+// maxBrokenFlows bounds the list of broken flows of a worker.
+const maxBrokenFlows = 20
+
 // GroupReport is what the callers of a group saw.
 type GroupReport struct {
 	Name string `json:"name"`
@@ -69,8 +84,10 @@
 	Lost     int64 `json:"packets_lost"`
 	Received int64 `json:"packets_received"`
 	// Stray counts packets for flows that are over or never were.
-	Stray    int64         `json:"packets_stray"`
-	Duration time.Duration `json:"duration_ns"`
+	Stray int64 `json:"packets_stray"`
+	// BrokenFlows lists the first flows that broke.
+	BrokenFlows []BrokenFlow  `json:"broken_flows"`
+	Duration    time.Duration `json:"duration_ns"`
 }
 
 // Total adds the groups up, without the answer times.
--- a/internal/standin/callers/run.go
+++ b/internal/standin/callers/run.go
@@ -76,5 +76,8 @@
 		}
 		report.Groups = append(report.Groups, total.finish(g.Name))
 	}
+	for _, w := range workers {
+		report.BrokenFlows = append(report.BrokenFlows, w.broken...)
+	}
 	return report
 }
--- a/internal/standin/callers/run_test.go
+++ b/internal/standin/callers/run_test.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"log/slog"
 	"net"
 	"net/netip"
 	"testing"
@@ -100,7 +101,7 @@
 		target("feed-2", feed, state.TCP),
 		target("lookup-1", lookups, state.UDP),
 		target("lookup-2", lookups, state.UDP),
-	}, back)
+	}, back, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	t.Cleanup(fleet.Close)
 	f := startForwarder(t, back, choose)
--- a/internal/standin/callers/worker.go
+++ b/internal/standin/callers/worker.go
@@ -43,6 +43,7 @@
 	addresses int
 	requests  uint64
 	lastFlows time.Time
+	broken    []BrokenFlow
 }
 
 func newWorker(index int, o *Options, f *fabric, starts []start) *worker {
@@ -241,3 +242,9 @@
 	w.flows[to] = w.flows[from]
 	delete(w.flows, from)
 }
+
+func (w *worker) noteBroken(b BrokenFlow) {
+	if len(w.broken) < maxBrokenFlows {
+		w.broken = append(w.broken, b)
+	}
+}
--- a/internal/standin/summary/summary.go
+++ b/internal/standin/summary/summary.go
@@ -122,6 +122,7 @@
 		total.Shed += c.Shed
 		total.WrongService += c.WrongService
 		total.NeverOpened += c.NeverOpened
+		total.BareUnknown += c.BareUnknown
 		total.OverLimit += c.OverLimit
 		total.AfterDrain += c.AfterDrain
 		total.Reset += c.Reset
@@ -146,6 +147,10 @@
 	fmt.Fprintf(&b, "packets      %d sent, %d lost, %d answers, %d stray; %d retransmissions; seed %d; %.1f s\n",
 		s.Callers.Sent, s.Callers.Lost, s.Callers.Received, s.Callers.Stray, total.Retransmits,
 		s.Callers.Seed, s.Callers.Duration.Seconds())
+	for _, f := range s.Callers.BrokenFlows {
+		fmt.Fprintf(&b, "broken       %s %s: %s after %.3f s and %d exchanges\n",
+			f.Group, f.Caller, f.Cause, f.After.Seconds(), f.Exchanges)
+	}
 	return b.String()
 }
 
@@ -168,6 +173,6 @@
 		fmt.Fprintf(b, "imbalance    %s: max/mean %.2f of the flows opened at %d targets\n", i.Service, i.Ratio(), i.Targets)
 	}
 	t := s.totalTargets()
-	fmt.Fprintf(b, "targets      %d requests run, %d run twice, %d shed, %d packets at a wrong service, %d payloads of unopened flows\n",
-		t.Run, t.RunTwice, t.Shed, t.WrongService, t.NeverOpened)
+	fmt.Fprintf(b, "targets      %d requests run, %d run twice, %d shed, %d packets at a wrong service, %d payloads and %d bare packets of unopened flows\n",
+		t.Run, t.RunTwice, t.Shed, t.WrongService, t.NeverOpened, t.BareUnknown)
 }
--- a/internal/standin/upstream/counts.go
+++ b/internal/standin/upstream/counts.go
@@ -23,6 +23,9 @@
 	WrongService int64 `json:"wrong_service"`
 	// NeverOpened counts payloads of flows that were not opened here.
 	NeverOpened int64 `json:"never_opened"`
+	// BareUnknown counts packets without payload of flows unknown here: flows
+	// that were never opened here, or that ended long ago.
+	BareUnknown int64 `json:"bare_unknown"`
 	// OverLimit counts openings above the connection limit.
 	OverLimit int64 `json:"over_limit"`
 	// AfterDrain counts flows opened long after the drain began.
@@ -37,7 +40,7 @@
 	opened, open, run, runTwice, shed    atomic.Int64
 	wrongService, neverOpened, overLimit atomic.Int64
 	afterDrain, reset, timedOut          atomic.Int64
-	malformed                            atomic.Int64
+	malformed, bareUnknown               atomic.Int64
 }
 
 func (c *counts) read(id state.TargetID, service netip.AddrPort) Counts {
@@ -51,6 +54,7 @@
 		Shed:         c.shed.Load(),
 		WrongService: c.wrongService.Load(),
 		NeverOpened:  c.neverOpened.Load(),
+		BareUnknown:  c.bareUnknown.Load(),
 		OverLimit:    c.overLimit.Load(),
 		AfterDrain:   c.afterDrain.Load(),
 		Reset:        c.reset.Load(),
--- a/internal/standin/upstream/fleet.go
+++ b/internal/standin/upstream/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -12,13 +13,15 @@
 type Fleet struct {
 	targets []*Target
 	ledger  *Ledger
+	back    netip.AddrPort
+	log     *slog.Logger
 }
 
 // NewFleet starts the upstreams. Their answers go to back. Close ends them.
-func NewFleet(options []Options, back netip.AddrPort) (*Fleet, error) {
-	f := &Fleet{ledger: NewLedger()}
+func NewFleet(options []Options, back netip.AddrPort, log *slog.Logger) (*Fleet, error) {
+	f := &Fleet{ledger: NewLedger(), back: back, log: log}
 	for i, o := range options {
-		target, err := newTarget(o, uint32(i), f.ledger, back)
+		target, err := newTarget(o, uint32(i), f)
 		if err != nil {
 			f.Close()
 			return nil, fmt.Errorf("upstream %s: %w", o.ID, err)
--- a/internal/standin/upstream/target.go
+++ b/internal/standin/upstream/target.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -20,6 +21,7 @@
 	number  uint32
 	ledger  *Ledger
 	back    netip.AddrPort
+	log     *slog.Logger
 	socket  *net.UDPConn
 	counts  counts
 	started time.Time
@@ -49,8 +51,8 @@
 	ReportLoad    *float64 `json:"report_load,omitempty"`
 }
 
-// newTarget starts a Target whose answers go to back.
-func newTarget(options Options, number uint32, ledger *Ledger, back netip.AddrPort) (*Target, error) {
+// newTarget starts a Target of the fleet.
+func newTarget(options Options, number uint32, f *Fleet) (*Target, error) {
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(options.Address))
 	if err != nil {
 		return nil, err
@@ -62,8 +64,9 @@
 	t := &Target{
 		options: options,
 		number:  number,
-		ledger:  ledger,
-		back:    back,
+		ledger:  f.ledger,
+		back:    f.back,
+		log:     f.log,
 		socket:  socket,
 		started: time.Now(),
 		done:    make(chan struct{}),
--- a/internal/standin/upstream/tcp.go
+++ b/internal/standin/upstream/tcp.go
@@ -58,7 +58,11 @@
 	}
 	if len(p.Payload) > 0 {
 		t.counts.neverOpened.Add(1)
+	} else {
+		t.counts.bareUnknown.Add(1)
 	}
+	t.log.Warn("upstream.unknown_flow", "target", t.options.ID, "caller", p.Source,
+		"flags", p.Flags, "payload", len(p.Payload))
 	if t.faults.Silent {
 		return
 	}
