--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 GO ?= go
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 
 .PHONY: all build demo test lint fmt
 
 all: build
 
 build:
-	$(GO) build -o bin/ ./cmd/...
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
 
 demo: build
 	./scripts/demo.sh
--- a/cmd/guava-standin/main.go
+++ b/cmd/guava-standin/main.go
@@ -29,7 +29,7 @@
 }
 
 func main() {
-	verbs := []verb{newPlatformVerb(), newHostsVerb(), newUpstreamVerb(), newCallersVerb()}
+	verbs := []verb{newPlatformVerb(), newHostsVerb(), newUpstreamVerb(), newCallersVerb(), newSlopesVerb()}
 	parser := flaggy.NewParser("guava-standin")
 	parser.Description = "Stand-ins for the platform, upstreams and callers; development and tests only."
 	parser.Version = version
--- /dev/null
+++ b/cmd/guava-standin/slopes.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/guavawharf/guavawharf/internal/standin/slopes"
+)
+
+const defaultSlopesLimit = 10 * time.Minute
+
+// slopesVerb measures how costs grow with one quantity at a time.
+type slopesVerb struct {
+	out    string
+	series []string
+	seed   uint64
+	limit  time.Duration
+	scale  float64
+}
+
+func newSlopesVerb() *slopesVerb {
+	return &slopesVerb{out: "out/slopes", seed: 1, limit: defaultSlopesLimit, scale: 1}
+}
+
+func (v *slopesVerb) subcommand() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("slopes")
+	sc.Description = "Measure the cost of an entry host over one quantity at a time; write CSV, JSON and SVG."
+	sc.AdditionalHelpAppend = fmt.Sprintf("Series: %v\nExample: guava-standin slopes --out out/slopes --series flows", slopes.Names())
+	sc.String(&v.out, "o", "out", "directory for the files")
+	sc.StringSlice(&v.series, "s", "series", "series to measure, may be repeated; all by default")
+	sc.UInt64(&v.seed, "", "seed", "seed of all random choices")
+	sc.Duration(&v.limit, "l", "limit", "bound of the whole run")
+	sc.Float64(&v.scale, "", "scale", "factor of all sizes")
+	return sc
+}
+
+func (v *slopesVerb) run(ctx context.Context, log *slog.Logger) int {
+	result, err := slopes.Run(ctx, slopes.Options{
+		Seed:     v.seed,
+		Revision: version,
+		Names:    v.series,
+		Limit:    v.limit,
+		Scale:    v.scale,
+		Log:      log,
+	})
+	if err != nil {
+		log.Error("slopes.run_failed", "error", err)
+		return exitFailed
+	}
+	if err := slopes.Write(result, v.out); err != nil {
+		log.Error("slopes.write_failed", "error", err)
+		return exitFailed
+	}
+	fmt.Print(slopes.Table(result))
+	return exitOK
+}
--- /dev/null
+++ b/internal/standin/slopes/engines.go
@@ -0,0 +1,205 @@
+package slopes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/lookup"
+)
+
+// virtualStart is when virtual time begins.
+var virtualStart = time.Unix(1_800_000_000, 0)
+
+const (
+	// engineTargets is the number of targets behind the engines' one service.
+	engineTargets = 14
+	openingSize   = 60
+	dataSize      = 600
+	dataPayload   = dataSize - 40
+)
+
+// testHost returns the n-th host of a domain.
+func testHost(domain, n int) state.Host {
+	ip := netip.AddrFrom4([4]byte{10, byte(domain), byte(n >> 8), byte(n)})
+	return state.Host{
+		ID:      state.HostID(fmt.Sprintf("host-%d-%d", domain, n)),
+		Domain:  domainID(domain),
+		Packets: netip.AddrPortFrom(ip, 6080),
+		Relay:   netip.AddrPortFrom(ip, 6081),
+		Control: netip.AddrPortFrom(ip, 6082),
+	}
+}
+
+func domainID(n int) state.DomainID { return state.DomainID(fmt.Sprintf("domain-%d", n)) }
+
+// oneService returns a release with one service of a domain.
+func oneService(targets int) *state.Release {
+	service := state.Service{
+		ID:          "service",
+		Number:      1,
+		Customer:    "customer",
+		Protocol:    state.TCP,
+		Address:     netip.MustParseAddrPort("198.51.100.1:443"),
+		IdleTimeout: 5 * time.Minute,
+	}
+	for i := range targets {
+		service.Targets = append(service.Targets, testTarget(i, 0))
+	}
+	return &state.Release{
+		Version:   1,
+		Domains:   []state.DomainID{domainID(0)},
+		Customers: []state.Customer{{ID: "customer", Weight: 1}},
+		Services:  []state.Service{service},
+	}
+}
+
+// maxConnections keeps the connection limit out of the measurements.
+const maxConnections = 1 << 30
+
+func testTarget(n, domain int) state.Target {
+	ip := netip.AddrFrom4([4]byte{11, byte(n >> 16), byte(n >> 8), byte(n)})
+	return state.Target{
+		ID:          state.TargetID(fmt.Sprintf("target-%06d", n)),
+		Number:      state.TargetNumber(n + 1),
+		Domain:      domainID(domain),
+		Address:     netip.AddrPortFrom(ip, 6080),
+		Weight:      1,
+		Slots:       3,
+		Connections: maxConnections,
+	}
+}
+
+// snapshotOf publishes a release on one of the hosts.
+func snapshotOf(release *state.Release, hosts []state.Host, self int) *state.Snapshot {
+	snapshot := &state.Snapshot{
+		Self:      hosts[self],
+		Version:   release.Version,
+		Customers: release.Customers,
+		Services:  make(map[state.ServiceAddress]*state.ServiceEntry),
+		Targets:   make(map[state.TargetNumber]*state.TargetEntry),
+		View:      state.View{Epoch: 1},
+		Ready:     true,
+	}
+	for _, host := range hosts {
+		snapshot.View.Members = append(snapshot.View.Members, state.Member{Host: host, Incarnation: 1})
+	}
+	for _, service := range release.Services {
+		entry := lookup.Carry(nil, service, release.Version)
+		address := state.ServiceAddress{Protocol: service.Protocol, Address: service.Address}
+		snapshot.Services[address] = entry
+		for _, target := range entry.Entries {
+			snapshot.Targets[target.Number] = target
+		}
+	}
+	return snapshot
+}
+
+// flowPacket returns a packet of the n-th flow of the one service.
+func flowPacket(n int, kind traffic.PacketKind, progress uint64) traffic.Packet {
+	ip := netip.AddrFrom4([4]byte{12, byte(n >> 24), byte(n >> 16), byte(n >> 8)})
+	key := state.FlowKey{
+		Protocol: state.TCP,
+		Caller:   netip.AddrPortFrom(ip, uint16(1024+n%256)),
+		Service:  netip.MustParseAddrPort("198.51.100.1:443"),
+	}
+	p := traffic.Packet{
+		Key:         key,
+		Fingerprint: key.Fingerprint(),
+		Kind:        kind,
+		Size:        openingSize,
+		Progress:    progress,
+	}
+	if kind == traffic.KindData {
+		p.Size = dataSize
+		p.Payload = dataPayload
+	}
+	return p
+}
+
+// cluster is the engines of the hosts of one domain; packets and notices that
+// they send each other arrive at once.
+type cluster struct {
+	now       time.Time
+	hosts     []state.Host
+	engines   []*traffic.Engine
+	snapshots []*state.Snapshot
+	// relays and notices count what passed between hosts.
+	relays  int
+	notices int
+	// outcomes of packets from the fabric.
+	forwarded int
+	other     int
+}
+
+func newCluster(hosts, maxRecords int, seed uint64) *cluster {
+	c := &cluster{now: virtualStart}
+	for n := range hosts {
+		c.hosts = append(c.hosts, testHost(0, n))
+	}
+	release := oneService(engineTargets)
+	for n := range hosts {
+		settings := traffic.Settings{MaxRecords: maxRecords}
+		random := rand.New(rand.NewPCG(seed, uint64(n)))
+		c.engines = append(c.engines, traffic.NewEngine(settings, random))
+		c.snapshots = append(c.snapshots, snapshotOf(release, c.hosts, n))
+	}
+	c.settle()
+	return c
+}
+
+// settleTime is longer than a young host treats its verdicts as tentative.
+const settleTime = 10 * time.Second
+
+// settle lets the hosts grow old.
+func (c *cluster) settle() {
+	for n := range c.engines {
+		c.engines[n].Sweep(c.now, c.snapshots[n], 1)
+	}
+	c.now = c.now.Add(settleTime)
+}
+
+// enter hands a packet of the fabric to a host and follows it to its end.
+func (c *cluster) enter(host int, p traffic.Packet) {
+	for {
+		d := c.engines[host].Handle(c.now, c.snapshots[host], &p)
+		c.notify(host, d.Notices[:d.NoticeCount])
+		if d.Verb != traffic.VerbRelay {
+			c.end(d)
+			return
+		}
+		c.relays++
+		host = c.index(d.To)
+		p.Relayed = true
+		p.Relay = d.Header
+	}
+}
+
+func (c *cluster) end(d traffic.Decision) {
+	if d.Verb == traffic.VerbForward {
+		c.forwarded++
+		return
+	}
+	c.other++
+}
+
+func (c *cluster) notify(from int, notices []traffic.Notice) {
+	for _, n := range notices {
+		c.notices++
+		to := c.index(n.To)
+		more := c.engines[to].HandleRecord(c.now, c.snapshots[to], c.hosts[from].ID, n.Header)
+		c.notify(to, more)
+	}
+}
+
+func (c *cluster) index(id state.HostID) int {
+	for i, h := range c.hosts {
+		if h.ID == id {
+			return i
+		}
+	}
+	panic("no such host: " + string(id))
+}
--- /dev/null
+++ b/internal/standin/slopes/result.go
@@ -0,0 +1,25 @@
+package slopes
+
+import (
+	"runtime"
+	"time"
+)
+
+// newResult names the build and the machine that measure.
+func newResult(o Options) Result {
+	return Result{
+		Revision:  o.Revision,
+		GoVersion: runtime.Version(),
+		Cores:     runtime.NumCPU(),
+		Seed:      o.Seed,
+		Began:     time.Now().UTC(),
+	}
+}
+
+// heapBytes returns the bytes of live heap objects.
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
