--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -38,8 +38,11 @@
 
 	refresh       int
 	contactTurn   int
+	thirdTurn     int
 	digestTurn    int
+	suspectTurn   int
 	nextReconnect time.Time
+	nextSuspects  time.Time
 
 	view  state.View
 	stale bool
@@ -70,6 +73,7 @@
 	m.advance(now)
 	m.checkProbes()
 	m.checkSuspicions()
+	m.probeSuspects()
 	m.forgetDead()
 	m.startProbes()
 	m.reconnect()
