Tell both present owners when an owner of before a change knows better

Ruled out: a lost message.

Change: a packet tells which host relayed it (Packet.From); the former owner hands the packet back with its verdict, and the sender tells its partner before the target can answer. Disagreements are answered to the sender.

--- a/internal/coordination/traffic/experiment/flow.go
+++ b/internal/coordination/traffic/experiment/flow.go
@@ -217,6 +217,6 @@
 	h := sprayed[b.random.IntN(len(sprayed))]
 	b.toCaller(func() {
 		b.Counts.Packets++
-		h.receive(s, relay.Header{}, false)
+		h.receive(s, relay.Header{}, "")
 	})
 }
--- a/internal/coordination/traffic/experiment/host.go
+++ b/internal/coordination/traffic/experiment/host.go
@@ -154,8 +154,8 @@
 	h.bed.After(sweepInterval, func() { h.passOn(linger) })
 }
 
-// receive takes a packet from the fabric or another host.
-func (h *Host) receive(s segment, header relay.Header, relayed bool) {
+// receive takes a packet from another host, or from the fabric if from is empty.
+func (h *Host) receive(s segment, header relay.Header, from state.HostID) {
 	if !h.up {
 		return
 	}
@@ -166,7 +166,8 @@
 		Size:        s.size,
 		Payload:     s.payload,
 		Progress:    s.progress,
-		Relayed:     relayed,
+		Relayed:     from != "",
+		From:        from,
 		Relay:       header,
 	}
 	d := h.engine.Handle(h.bed.time(), h.snap, &p)
@@ -188,7 +189,7 @@
 		if to.Domain != h.Domain {
 			b.Counts.BetweenHops++
 		}
-		b.between(h.Domain, to.Domain, func() { to.receive(s, d.Header, true) })
+		b.between(h.Domain, to.Domain, func() { to.receive(s, d.Header, h.ID) })
 	case traffic.VerbRefuse:
 		b.toCaller(s.flow.refused)
 	case traffic.VerbReset:
--- a/internal/coordination/traffic/second.go
+++ b/internal/coordination/traffic/second.go
@@ -21,11 +21,35 @@
 	}
 	if incoming.overrides(r) {
 		e.adopt(r, incoming)
+		d := e.executeRecord(f, r)
+		if partner := f.owners.partner(); partner != nil && f.packet.Relay.Position == positionReturned {
+			d.notify(partner, recordHeader(relay.KindConfirm, r))
+		}
+		return d
+	}
+	if incoming.agrees(r) {
 		return e.executeRecord(f, r)
 	}
+	return e.disagree(f, r)
+}
+
+// disagree carries the record's verdict out against that of the sender. An
+// owner of before a change hands the packet back with its verdict, so that the
+// present owners know it before the target answers.
+func (e *Engine) disagree(f *flow, r *record) Decision {
+	sender := e.view.host(f.packet.From)
+	if sender == nil {
+		sender = f.owners.partner()
+	}
+	if f.packet.Relay.Position == positionFormer && sender != nil {
+		r.clear(flagTentative)
+		h := recordHeader(relay.KindOpening, r)
+		h.Position = positionReturned
+		return e.relayHeader(f, sender, h, ReasonToSecond)
+	}
 	d := e.executeRecord(f, r)
-	if partner := f.owners.partner(); partner != nil && !incoming.agrees(r) {
-		d.notify(partner, recordHeader(relay.KindConfirm, r))
+	if sender != nil {
+		d.notify(sender, recordHeader(relay.KindConfirm, r))
 	}
 	return d
 }
@@ -40,9 +64,9 @@
 	}
 	r := e.keep(f, v)
 	former := e.formerOwner(f)
-	if former != nil && v.has(headerFresh) && f.packet.Relay.Position < formerPosition {
+	if former != nil && v.has(headerFresh) && f.packet.Relay.Position < positionFormer {
 		h := v.header(relay.KindOpening)
-		h.Position = formerPosition
+		h.Position = positionFormer
 		return e.relayHeader(f, former, h, ReasonToPrevious)
 	}
 	if r == nil {
@@ -61,8 +85,13 @@
 	return target != nil && (target.Leaving || target.Withdrawn)
 }
 
-// formerPosition marks a verdict sent to the owner before a change of owners.
-const formerPosition = 2
+// Values of relay.Header.Position with KindOpening.
+const (
+	// positionFormer marks a verdict sent to the owner before a change.
+	positionFormer = 2
+	// positionReturned marks the verdict of an owner before a change.
+	positionReturned = 3
+)
 
 // overrule places a new flow itself because the first owner, by an older
 // snapshot, chose a target that is leaving.
--- a/internal/coordination/traffic/types.go
+++ b/internal/coordination/traffic/types.go
@@ -35,8 +35,10 @@
 	// Progress changes whenever the caller sends something new or acknowledges
 	// something new; a repeated value marks a retransmission.
 	Progress uint64
-	// Relayed is true for packets from another entry host; Relay is its header.
+	// Relayed is true for packets from another entry host: From sent it with the
+	// header Relay.
 	Relayed bool
+	From    state.HostID
 	Relay   relay.Header
 }
 
--- a/internal/standin/slopes/engines.go
+++ b/internal/standin/slopes/engines.go
@@ -172,6 +172,7 @@
 			return
 		}
 		c.relays++
+		p.From = c.hosts[host].ID
 		host = c.index(d.To)
 		p.Relayed = true
 		p.Relay = d.Header
--- a/internal/transport/workers/reader.go
+++ b/internal/transport/workers/reader.go
@@ -140,6 +140,7 @@
 		return err
 	}
 	job.Packet.Relayed = true
+	job.Packet.From = job.From
 	job.Packet.Relay = header
 	return nil
 }
