Admit new flows by max-min shares and reset silent flows

Change: package admission shares new flows a second among customers by weighted max-min fairness; package fairqueue is a deficit round robin queue for packets in front of the workers; in a crowded flow table, customers above their part by weight open no more flows; a flow that retransmits without progress for 6 s while other flows open at its target is reset once.

--- /dev/null
+++ b/internal/coordination/admission/rate.go
@@ -0,0 +1,115 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Times of a Rate.
+const (
+	// interval is how often shares are computed afresh.
+	interval = 100 * time.Millisecond
+	// forgetAfter is how many intervals a silent customer keeps its place.
+	forgetAfter = 100
+	// smoothing is the part of the newest interval in the expected demand.
+	smoothing = 0.25
+	// headroom scales the expected demand, so that it may grow.
+	headroom = 1.25
+)
+
+// account is one customer's use of a Rate.
+type account struct {
+	weight float64
+	// asked and used count the current interval.
+	asked float64
+	used  float64
+	// expected is the smoothed demand of an interval.
+	expected float64
+	// share is what the customer may use in the current interval.
+	share float64
+	idle  int
+}
+
+// Rate admits events, so many a second in all, shared among customers. A
+// customer can always use its weight's part of the capacity; what others have
+// not asked for lately is lent to those that want more.
+type Rate struct {
+	// capacity is the number of events in an interval.
+	capacity float64
+	accounts map[state.CustomerID]*account
+	next     time.Time
+}
+
+// NewRate returns a Rate for so many events a second; 0 admits everything.
+func NewRate(perSecond float64) *Rate {
+	return &Rate{
+		capacity: perSecond * interval.Seconds(),
+		accounts: make(map[state.CustomerID]*account),
+	}
+}
+
+// Admit reports whether a customer may have one more event now.
+func (r *Rate) Admit(now time.Time, id state.CustomerID, weight uint32) bool {
+	if r.capacity == 0 {
+		return true
+	}
+	if !now.Before(r.next) {
+		r.roll(now)
+	}
+	a := r.accounts[id]
+	if a == nil {
+		a = &account{}
+		r.accounts[id] = a
+	}
+	if a.weight != float64(max(weight, 1)) {
+		a.weight = float64(max(weight, 1))
+		r.share()
+	}
+	a.asked++
+	if a.used >= a.share {
+		return false
+	}
+	a.used++
+	return true
+}
+
+// RetryAfter is the time until the shares are computed afresh.
+func (r *Rate) RetryAfter(now time.Time) time.Duration {
+	return max(r.next.Sub(now), 0)
+}
+
+// roll begins a new interval. Intervals without any event count as one.
+func (r *Rate) roll(now time.Time) {
+	r.next = now.Add(interval)
+	for id, a := range r.accounts {
+		a.idle++
+		if a.asked > 0 {
+			a.idle = 0
+		}
+		if a.idle > forgetAfter {
+			delete(r.accounts, id)
+			continue
+		}
+		a.expected = max(a.asked, a.expected+(a.asked-a.expected)*smoothing)
+		a.asked = 0
+		a.used = 0
+	}
+	r.share()
+}
+
+// share computes what each customer may use.
+func (r *Rate) share() {
+	demands := make([]Demand, 0, len(r.accounts))
+	accounts := make([]*account, 0, len(r.accounts))
+	weights := 0.0
+	for _, a := range r.accounts {
+		demands = append(demands, Demand{Weight: a.weight, Want: a.expected * headroom})
+		accounts = append(accounts, a)
+		weights += a.weight
+	}
+	for i, lent := range Shares(r.capacity, demands) {
+		guaranteed := r.capacity * accounts[i].weight / weights
+		accounts[i].share = max(guaranteed, lent)
+	}
+}
--- /dev/null
+++ b/internal/coordination/fairqueue/queue.go
@@ -0,0 +1,133 @@
+// Package fairqueue holds packets of many customers in front of a worker and
+// hands them out by deficit round robin, so that the largest customer's burst
+// delays itself first. It is pure and not safe for concurrent use.
+package fairqueue
+
+import "github.com/guavawharf/guavawharf/internal/state"
+
+// quantum is what a customer of weight 1 may send each round, in bytes.
+const quantum = 1500
+
+// entry is one queued item.
+type entry[T any] struct {
+	item T
+	size int
+}
+
+// lane is one customer's queue.
+type lane[T any] struct {
+	entries []entry[T]
+	// head is the index of the first entry still queued.
+	head    int
+	weight  int
+	deficit int
+	active  bool
+}
+
+// length returns the number of entries queued.
+func (l *lane[T]) length() int { return len(l.entries) - l.head }
+
+// Queue is a bounded set of per-customer queues.
+type Queue[T any] struct {
+	limit  int
+	length int
+	lanes  map[state.CustomerID]*lane[T]
+	// ring holds the lanes with entries in the order of their turns.
+	ring []*lane[T]
+	// turn is true while the first lane of ring has its turn.
+	turn bool
+}
+
+// New returns a queue of at most limit items.
+func New[T any](limit int) *Queue[T] {
+	return &Queue[T]{limit: limit, lanes: make(map[state.CustomerID]*lane[T])}
+}
+
+// Len returns the number of items queued.
+func (q *Queue[T]) Len() int { return q.length }
+
+// Push queues an item of a size in bytes. When the queue is full, the newest
+// item of the longest lane, relative to its weight, gives way: dropped is that
+// item, which may be the pushed one, and ok is false if nothing was dropped.
+func (q *Queue[T]) Push(customer state.CustomerID, weight uint32, size int, item T) (dropped T, ok bool) {
+	l := q.lanes[customer]
+	if l == nil {
+		l = &lane[T]{}
+		q.lanes[customer] = l
+	}
+	l.weight = int(max(weight, 1))
+	l.entries = append(l.entries, entry[T]{item: item, size: size})
+	q.length++
+	if !l.active {
+		l.active = true
+		q.ring = append(q.ring, l)
+	}
+	if q.length <= q.limit {
+		return dropped, false
+	}
+	return q.dropLongest(), true
+}
+
+// dropLongest removes the newest item of the longest lane.
+func (q *Queue[T]) dropLongest() T {
+	longest := q.ring[0]
+	for _, l := range q.ring[1:] {
+		if l.length()*longest.weight > longest.length()*l.weight {
+			longest = l
+		}
+	}
+	last := len(longest.entries) - 1
+	item := longest.entries[last].item
+	longest.entries[last] = entry[T]{}
+	longest.entries = longest.entries[:last]
+	q.length--
+	return item
+}
+
+// Pop returns the next item; ok is false when the queue is empty.
+func (q *Queue[T]) Pop() (item T, ok bool) {
+	for len(q.ring) > 0 {
+		l := q.ring[0]
+		if l.length() == 0 {
+			q.retire(l)
+			continue
+		}
+		if !q.turn {
+			l.deficit += quantum * l.weight
+			q.turn = true
+		}
+		first := l.entries[l.head]
+		if first.size > l.deficit {
+			q.ring = append(q.ring[1:], l)
+			q.turn = false
+			continue
+		}
+		l.deficit -= first.size
+		l.pop()
+		q.length--
+		return first.item, true
+	}
+	return item, false
+}
+
+// retire takes an empty lane off the ring.
+func (q *Queue[T]) retire(l *lane[T]) {
+	q.ring = q.ring[1:]
+	q.turn = false
+	l.active = false
+	l.deficit = 0
+	l.entries = l.entries[:0]
+	l.head = 0
+}
+
+// pop removes the first entry and gives room back once half of it is unused.
+func (l *lane[T]) pop() {
+	l.entries[l.head] = entry[T]{}
+	l.head++
+	if l.head*2 >= len(l.entries) {
+		n := copy(l.entries, l.entries[l.head:])
+		clear(l.entries[n:])
+		l.entries = l.entries[:n]
+		l.head = 0
+	}
+}
--- a/internal/coordination/traffic/bench_test.go
+++ b/internal/coordination/traffic/bench_test.go
@@ -142,7 +142,7 @@
 	records := newTable(manyRecords)
 	for n := range manyRecords {
 		p := benchPacket(n, KindData)
-		records.insert(p.Fingerprint, manyRecords).service = 1
+		records.insert(p.Fingerprint).service = 1
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -14,6 +14,10 @@
 	settings Settings
 	random   *rand.Rand
 	records  *table
+	// refusals is the number of records that remember a refusal.
+	refusals int
+	// customers knows what each customer uses.
+	customers *customers
 	// started is the time of the first call.
 	started time.Time
 	// now and tick are the time of the current call.
@@ -37,11 +41,12 @@
 func NewEngine(s Settings, rng *rand.Rand) *Engine {
 	settings := s.withDefaults()
 	return &Engine{
-		settings: settings,
-		random:   rng,
-		records:  newTable(settings.MaxRecords),
-		entries:  make(map[state.ServiceNumber]*state.ServiceEntry),
-		services: make(map[state.ServiceNumber]*serviceRoutes),
+		settings:  settings,
+		random:    rng,
+		records:   newTable(settings.MaxRecords),
+		customers: newCustomers(settings.NewFlowRate),
+		entries:   make(map[state.ServiceNumber]*state.ServiceEntry),
+		services:  make(map[state.ServiceNumber]*serviceRoutes),
 	}
 }
 
--- a/internal/coordination/traffic/engine_test.go
+++ b/internal/coordination/traffic/engine_test.go
@@ -54,7 +54,7 @@
 				records.remove(fp)
 				delete(model, fp)
 			} else if records.find(fp) == nil {
-				r := records.insert(fp, limit)
+				r := records.insert(fp)
 				require.Equal(t, len(model) < limit, r != nil)
 				if r != nil {
 					r.service = 1
@@ -262,3 +262,79 @@
 	e.Handle(now, &reused, &p)
 	require.Equal(t, ReasonAddressReused, e.Handle(now, &reused, &p).Reason)
 }
+
+func TestCrowdedTableKeepsRoomForSmallCustomers(t *testing.T) {
+	const limit = 100
+	snap := benchSnapshot(state.WayOwner, 0)
+	entry := onlyEntry(snap)
+	entry.Customer = "large"
+	e, now := settledEngine(Settings{MaxRecords: limit}, snap)
+	e.customers.open[2] = 1
+	e.entries[2] = &state.ServiceEntry{Service: state.Service{Number: 2, Customer: "small"}}
+	reasons := make(map[Reason]int)
+	for n := range limit {
+		p := ownedPacket(e, n*1000, KindOpening)
+		h := e.Handle(now, snap, &p).Header
+		if h.Verdict == relay.VerdictRefuse {
+			reasons[Reason(h.Reason)]++
+		}
+	}
+	require.Equal(t, map[Reason]int{ReasonCustomerFlows: limit - limit*crowdedShareMilli/1000}, reasons)
+	require.Equal(t, ReasonNone, e.admit("small"))
+}
+
+func TestNewFlowRateRefuses(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{NewFlowRate: 100}, snap)
+	refused := 0
+	for n := range 30 {
+		p := ownedPacket(e, n*1000, KindOpening)
+		if h := e.Handle(now, snap, &p).Header; h.Verdict == relay.VerdictRefuse {
+			require.Equal(t, ReasonCustomerRate, Reason(h.Reason))
+			refused++
+		}
+	}
+	require.Equal(t, 20, refused)
+}
+
+// silentCase is a flow that repeats a packet, with other flows opening at its
+// target or not.
+type silentCase struct {
+	name    string
+	payload int
+	others  bool
+	moves   bool
+	resets  int
+}
+
+func TestSilentFlowIsResetOnce(t *testing.T) {
+	for _, c := range []silentCase{
+		{"retransmits while others open", 100, true, false, 1},
+		{"dead target", 100, false, false, 0},
+		{"idle feed or slow reader", probePayload, true, false, 0},
+		{"makes progress", 100, true, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			snap := benchSnapshot(state.WayOwner, 0)
+			e, now := settledEngine(Settings{}, snap)
+			p := ownedPacket(e, 0, KindOpening)
+			target := snap.Targets[e.Handle(now, snap, &p).Header.Target]
+			p.Kind = KindData
+			p.Payload = c.payload
+			resets := 0
+			for i := range 20 {
+				now = now.Add(time.Second)
+				if c.others {
+					target.Load.Completed.Add(1)
+				}
+				if c.moves {
+					p.Progress = uint64(i)
+				}
+				if e.Handle(now, snap, &p).Verb == VerbReset {
+					resets++
+				}
+			}
+			require.Equal(t, c.resets, resets)
+		})
+	}
+}
--- a/internal/coordination/traffic/keep.go
+++ b/internal/coordination/traffic/keep.go
@@ -6,13 +6,16 @@
 )
 
 // Parts of the table, in thousandths of MaxRecords. Openings stop first, so
-// that refusals are remembered and copies of open flows find room.
+// that copies of open flows find room; refusals have a part of their own, so
+// that they take no room from flows.
 const (
 	openingShareMilli = 900
-	refusalShareMilli = 950
-	copyShareMilli    = 1000
+	refusalShareMilli = 50
 )
 
+// flows returns the number of records that are not refusals.
+func (e *Engine) flows() int { return e.records.count - e.refusals }
+
 // limit returns the number of records up to which a share may fill the table.
 func (e *Engine) limit(shareMilli int) int {
 	return e.settings.MaxRecords * shareMilli / 1000
@@ -35,11 +38,10 @@
 
 // insert adds a record with a verdict; nil when the table is full.
 func (e *Engine) insert(fp state.Fingerprint, service state.ServiceNumber, v judgement) *record {
-	share := copyShareMilli
-	if v.verdict == relay.VerdictRefuse {
-		share = refusalShareMilli
+	if v.verdict == relay.VerdictRefuse && e.refusals >= e.limit(refusalShareMilli) {
+		return nil
 	}
-	r := e.records.insert(fp, e.limit(share))
+	r := e.records.insert(fp)
 	if r == nil {
 		return nil
 	}
@@ -54,7 +56,7 @@
 	e.setTarget(r, v.target)
 	r.reason = v.reason
 	r.retryAfter = v.retryAfter
-	r.phase = v.phase()
+	e.setPhase(r, v.phase())
 	r.clear(flagTentative | flagGuessed)
 	if v.has(headerTentative) {
 		r.set(flagTentative)
@@ -88,16 +90,21 @@
 	}
 	if owned {
 		target.Load.OpenFlows.Add(1)
+		e.customers.open[r.service]++
 		r.set(flagCounted)
 		return
 	}
 	target.Load.OpenFlows.Add(-1)
+	e.customers.open[r.service]--
 	r.clear(flagCounted)
 }
 
 // uncount takes the record out of its target's counters.
 func (e *Engine) uncount(r *record) {
 	target := e.snap.Targets[r.target]
+	if r.has(flagCounted) {
+		e.customers.open[r.service]--
+	}
 	if target == nil {
 		r.clear(flagCounted | flagNamed)
 		return
@@ -111,8 +118,20 @@
 	r.clear(flagCounted | flagNamed)
 }
 
+// setPhase changes the record's phase and counts the refusals.
+func (e *Engine) setPhase(r *record, p phase) {
+	if !r.forwards() {
+		e.refusals--
+	}
+	r.phase = p
+	if !r.forwards() {
+		e.refusals++
+	}
+}
+
 // remove deletes a record.
 func (e *Engine) remove(r *record) {
+	e.setPhase(r, phaseClosing)
 	e.uncount(r)
 	e.records.remove(r.fingerprint)
 }
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -79,6 +79,9 @@
 	}
 	known := f.packet.Kind == KindData || f.packet.Kind == KindDatagram && r.phase == phaseOpen
 	e.observe(f, r, target)
+	if e.silent(f, r, target) {
+		return e.resetSilent(r)
+	}
 	via := e.needsPartner(f, r) && e.canRelay(f)
 	if known && e.settledOpening(f) {
 		r.clear(flagTentative)
--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -9,9 +9,12 @@
 
 // judge decides about a new flow.
 func (e *Engine) judge(f *flow) judgement {
-	if e.records.count >= e.limit(openingShareMilli) {
+	if e.flows() >= e.limit(openingShareMilli) {
 		return e.refuseNew(f, ReasonTableFull)
 	}
+	if reason := e.admit(f.routes.entry.Customer); reason != ReasonNone {
+		return e.refuseNew(f, reason)
+	}
 	target, reason := e.place(f)
 	if target == nil {
 		return e.refuseNew(f, reason)
--- a/internal/coordination/traffic/record.go
+++ b/internal/coordination/traffic/record.go
@@ -62,10 +62,12 @@
 	refreshed tick
 	// pair is the signature of the owner pair that holds the record.
 	pair uint32
-	// progress is the folded Packet.Progress of the last packet.
+	// progress is the folded Packet.Progress of the last packet with data.
 	progress uint32
 	// stalled is the time of the first retransmission without progress.
 	stalled tick
+	// completed is TargetLoad.Completed at stalled, shortened.
+	completed uint32
 	// retryAfter is what a refused caller was told, in units of 10 ms.
 	retryAfter uint16
 	repeats    uint8
--- a/internal/coordination/traffic/settings.go
+++ b/internal/coordination/traffic/settings.go
@@ -37,6 +37,12 @@
 	ClosingTimeout time.Duration
 	// RetryAfter is what refused callers are told.
 	RetryAfter time.Duration
+	// SilentTimeout is the least time without progress after which a flow that
+	// only retransmits is reset.
+	SilentTimeout time.Duration
+	// NewFlowRate bounds the new flows a second of the engine, shared among
+	// customers; 0 leaves them unbounded.
+	NewFlowRate float64
 	// SingleOwner switches the second owner and the search off. It exists to
 	// show what they are for.
 	SingleOwner bool
@@ -52,6 +58,7 @@
 	DefaultOpeningTimeout = 20 * time.Second
 	DefaultClosingTimeout = 30 * time.Second
 	DefaultRetryAfter     = 2 * time.Second
+	DefaultSilentTimeout  = 6 * time.Second
 )
 
 // withDefaults fills the zero fields.
@@ -64,6 +71,7 @@
 	setDefault(&s.OpeningTimeout, DefaultOpeningTimeout)
 	setDefault(&s.ClosingTimeout, DefaultClosingTimeout)
 	setDefault(&s.RetryAfter, DefaultRetryAfter)
+	setDefault(&s.SilentTimeout, DefaultSilentTimeout)
 	return s
 }
 
--- a/internal/coordination/traffic/table.go
+++ b/internal/coordination/traffic/table.go
@@ -54,10 +54,10 @@
 	return nil
 }
 
-// insert adds an empty record for a flow that has none; nil when the table
-// holds limit records or more.
-func (t *table) insert(fp state.Fingerprint, limit int) *record {
-	if t.count >= min(limit, t.max) {
+// insert adds an empty record for a flow that has none; nil when the table is
+// full.
+func (t *table) insert(fp state.Fingerprint) *record {
+	if t.count >= t.max {
 		return nil
 	}
 	s := t.take()
