Test the packet path over loopback and drain it before it closes

A closing pool goes on reading for 50 ms, lets the workers finish and only then closes its sockets, so that packets already received are not lost. A second request to pass records on no longer starts over.

--- a/internal/transport/udp/socket.go
+++ b/internal/transport/udp/socket.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/samber/oops"
 	"golang.org/x/net/ipv4"
@@ -56,6 +57,12 @@
 	return unmapped(s.conn.LocalAddr())
 }
 
+// StopReading ends all reads at a time, which gives readers a while to take
+// what the kernel holds. They then return os.ErrDeadlineExceeded; writes go on.
+func (s *Socket) StopReading(at time.Time) error {
+	return s.conn.SetReadDeadline(at)
+}
+
 // Close closes the socket; readers return net.ErrClosed.
 func (s *Socket) Close() error {
 	return s.conn.Close()
--- a/internal/transport/udp/udp_test.go
+++ b/internal/transport/udp/udp_test.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"net/netip"
+	"os"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -78,6 +80,17 @@
 	require.Equal(t, byte(2), readAll(t, to, 1)[0].Slot[0])
 }
 
+func TestStopReadingLeavesTheSocketOpenForWrites(t *testing.T) {
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	require.NoError(t, from.StopReading(time.Now()))
+	err := NewReader(from, newSlot).Read(func(Datagram[slot]) bool { return false })
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	writer := NewWriter(from)
+	writer.Add([]byte{1}, to.Address())
+	require.Zero(t, writer.Flush())
+	require.Len(t, readAll(t, to, 1), 1)
+}
+
 func TestCloseEndsARead(t *testing.T) {
 	socket := listen(t, "127.0.0.1:0")
 	done := make(chan error)
--- a/internal/transport/workers/counts.go
+++ b/internal/transport/workers/counts.go
@@ -41,6 +41,8 @@
 	EventUnknownHost
 	// EventTooLong counts datagrams longer than MaxPacketSize.
 	EventTooLong
+	// EventReceiveFailed counts failed reads of a socket.
+	EventReceiveFailed
 	// EventSendFailed counts datagrams that the kernel did not take.
 	EventSendFailed
 	// EventUnanswerable counts refusals and resets that could not be built.
@@ -63,6 +65,7 @@
 	EventNotMember:      "relay_not_a_member",
 	EventUnknownHost:    "relay_unknown_host",
 	EventTooLong:        "packet_too_long",
+	EventReceiveFailed:  "receive_failed",
 	EventSendFailed:     "send_failed",
 	EventUnanswerable:   "answer_not_built",
 }
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -28,6 +28,11 @@
 	// PassOnBudget is the number of records passed on with each sweep. It keeps
 	// the burst of record messages within a receiver's socket buffer.
 	PassOnBudget = 128
+	// DrainTime is how long a closing pool reads what has already arrived.
+	DrainTime = 50 * time.Millisecond
+
+	// finishTimeout bounds how long a closing pool waits for its workers.
+	finishTimeout = 2 * time.Second
 )
 
 // Engine decides for one shard; *traffic.Engine is one.
@@ -53,7 +58,7 @@
 	QueueLength int
 	// PassedOn is called once when all records were passed on.
 	PassedOn func()
-	// Now reads the clock.
+	// Now reads the clock; nil means time.Now.
 	Now func() time.Time
 }
 
@@ -67,7 +72,9 @@
 	relay    *relayReader
 	workers  *ants.Pool
 	jobs     sync.Pool
-	passing  atomic.Int64
+	passOnce sync.Once
+	// passing counts the shards that still pass records on.
+	passing atomic.Int64
 	// refused holds an *atomic.Int64 for each service number.
 	refused sync.Map
 	running sync.WaitGroup
@@ -119,14 +126,14 @@
 	p.routes.Store(NewRoutes(snapshot))
 }
 
-// PassOn starts to pass on all records; Settings.PassedOn follows.
+// PassOn starts to pass on all records, once; Settings.PassedOn follows.
 func (p *Pool) PassOn() {
-	if !p.passing.CompareAndSwap(0, int64(len(p.shards))) {
-		return
-	}
-	for _, s := range p.shards {
-		s.passOn.Store(true)
-	}
+	p.passOnce.Do(func() {
+		p.passing.Store(int64(len(p.shards)))
+		for _, s := range p.shards {
+			s.passOn.Store(true)
+		}
+	})
 }
 
 // shardPassedOn reports the end once the last shard is done.
@@ -145,13 +152,17 @@
 	return total
 }
 
-// Close closes the sockets and waits for readers and workers.
+// Close reads for DrainTime what has arrived, lets the workers finish their
+// queues, and closes the sockets.
 func (p *Pool) Close() {
+	deadline := p.settings.Now().Add(DrainTime)
+	_ = p.settings.Fabric.StopReading(deadline)
+	_ = p.settings.Relay.StopReading(deadline)
 	close(p.stop)
+	p.running.Wait()
+	_ = p.workers.ReleaseTimeout(finishTimeout)
 	_ = p.settings.Fabric.Close()
 	_ = p.settings.Relay.Close()
-	p.running.Wait()
-	p.workers.Release()
 }
 
 func (p *Pool) sweep() {
--- /dev/null
+++ b/internal/transport/workers/pool_test.go
@@ -0,0 +1,273 @@
+package workers
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/protocol/packet"
+	"github.com/guavawharf/guavawharf/internal/protocol/relaywire"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/transport/udp"
+)
+
+const (
+	peerID state.HostID = "b1"
+	// portions is how many calls of PassOn the engine needs.
+	portions = 3
+)
+
+// fakeEngine decides the same for every packet.
+type fakeEngine struct {
+	decide  func(*traffic.Packet) traffic.Decision
+	records chan relay.Header
+	passed  int
+}
+
+func (f *fakeEngine) Handle(_ time.Time, _ *state.Snapshot, p *traffic.Packet) traffic.Decision {
+	return f.decide(p)
+}
+
+func (f *fakeEngine) HandleRecord(_ time.Time, _ *state.Snapshot, _ state.HostID, h relay.Header) []traffic.Notice {
+	f.records <- h
+	return nil
+}
+
+func (f *fakeEngine) Sweep(time.Time, *state.Snapshot, int) []traffic.Notice { return nil }
+
+func (f *fakeEngine) PassOn(time.Time, *state.Snapshot, int) ([]traffic.Notice, bool) {
+	f.passed++
+	header := relay.Header{Kind: relay.KindRecord}
+	return []traffic.Notice{{To: peerID, Header: header}}, f.passed == portions
+}
+
+func (f *fakeEngine) Len() int { return 1 }
+
+// bench is a pool with the sockets around it.
+type bench struct {
+	pool   *Pool
+	engine *fakeEngine
+	// outside is the fabric, the target and the return address at once.
+	outside *udp.Socket
+	// peer is another entry host's relay socket.
+	peer     *udp.Socket
+	passedOn chan struct{}
+}
+
+func listen(t *testing.T) *udp.Socket {
+	t.Helper()
+	socket, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+// newBench starts a pool whose engine decides by the given function, or forwards.
+func newBench(t *testing.T, decide func(*traffic.Packet) traffic.Decision) *bench {
+	t.Helper()
+	b := &bench{
+		engine:   &fakeEngine{records: make(chan relay.Header, 1)},
+		outside:  listen(t),
+		peer:     listen(t),
+		passedOn: make(chan struct{}, 2),
+	}
+	b.engine.decide = decide
+	if decide == nil {
+		b.engine.decide = func(*traffic.Packet) traffic.Decision { return b.forward() }
+	}
+	var err error
+	b.pool, err = New(Settings{
+		Fabric:   listen(t),
+		Relay:    listen(t),
+		Return:   b.outside.Address(),
+		Engines:  []Engine{b.engine},
+		PassedOn: func() { b.passedOn <- struct{}{} },
+	})
+	require.NoError(t, err)
+	peer := state.Host{ID: peerID, Relay: b.peer.Address()}
+	b.pool.Publish(&state.Snapshot{View: state.View{Members: []state.Member{{Host: peer}}}})
+	b.pool.Start()
+	t.Cleanup(b.pool.Close)
+	return b
+}
+
+func (b *bench) forward() traffic.Decision {
+	target := &state.TargetEntry{Target: state.Target{Address: b.outside.Address()}}
+	return traffic.Decision{Verb: traffic.VerbForward, Target: target}
+}
+
+func send(from *udp.Socket, to netip.AddrPort, datagrams ...[]byte) {
+	writer := udp.NewWriter(from)
+	for _, datagram := range datagrams {
+		writer.Add(datagram, to)
+	}
+	writer.Flush()
+}
+
+type slot []byte
+
+func (s slot) Space() []byte { return s }
+
+// receive reads the next datagrams.
+func receive(t *testing.T, socket *udp.Socket, count int) []udp.Datagram[slot] {
+	t.Helper()
+	var got []udp.Datagram[slot]
+	reader := udp.NewReader(socket, func() slot { return make(slot, 2*MaxPacketSize) })
+	for len(got) < count {
+		require.NoError(t, reader.Read(func(d udp.Datagram[slot]) bool {
+			got = append(got, d)
+			return true
+		}))
+	}
+	return got
+}
+
+func (b *bench) counter(t *testing.T, name string) int64 {
+	t.Helper()
+	for _, counter := range b.pool.Counters() {
+		if counter.Name == name {
+			return counter.Value
+		}
+	}
+	t.Fatalf("no counter %q", name)
+	return 0
+}
+
+func opening(t testing.TB, port uint16) []byte {
+	t.Helper()
+	network := &layers.IPv4{
+		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+		SrcIP: net.IP{192, 0, 2, 1}, DstIP: net.IP{198, 51, 100, 1},
+	}
+	tcp := &layers.TCP{SrcPort: layers.TCPPort(port), DstPort: 443, SYN: true}
+	require.NoError(t, tcp.SetNetworkLayerForChecksum(network))
+	buffer := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	require.NoError(t, gopacket.SerializeLayers(buffer, options, network, tcp))
+	return buffer.Bytes()
+}
+
+func TestForwardedPacketsAreUnchanged(t *testing.T) {
+	b := newBench(t, nil)
+	data := opening(t, 40000)
+	send(b.outside, b.pool.settings.Fabric.Address(), data)
+	got := receive(t, b.outside, 1)[0]
+	require.Equal(t, data, []byte(got.Slot[:got.Size]))
+	require.Equal(t, int64(1), b.counter(t, "forwarded"))
+}
+
+func TestRelayedPacketsCarryTheHeader(t *testing.T) {
+	header := relay.Header{Kind: relay.KindPacket, Hops: 1, Service: 7}
+	b := newBench(t, func(*traffic.Packet) traffic.Decision {
+		return traffic.Decision{Verb: traffic.VerbRelay, To: peerID, Header: header}
+	})
+	data := opening(t, 40000)
+	send(b.outside, b.pool.settings.Fabric.Address(), data)
+	got := receive(t, b.peer, 1)[0]
+	require.Equal(t, relaywire.Append(nil, header, data), []byte(got.Slot[:got.Size]))
+	require.Equal(t, b.pool.settings.Relay.Address(), got.From)
+}
+
+func TestRelayedPacketsReachTheEngineWithTheirHeader(t *testing.T) {
+	header := relay.Header{Kind: relay.KindPacket, Hops: relay.MaxHops, Service: 7}
+	seen := make(chan traffic.Packet, 1)
+	b := newBench(t, func(p *traffic.Packet) traffic.Decision {
+		seen <- *p
+		return traffic.Decision{Verb: traffic.VerbDrop}
+	})
+	datagram := relaywire.Append(nil, header, opening(t, 40000))
+	send(b.peer, b.pool.settings.Relay.Address(), datagram)
+	p := <-seen
+	require.True(t, p.Relayed)
+	require.Equal(t, header, p.Relay)
+}
+
+func TestRecordMessagesReachTheEngine(t *testing.T) {
+	b := newBench(t, nil)
+	header := relay.Header{Kind: relay.KindForget, Fingerprint: state.Fingerprint{High: 3, Low: 4}}
+	send(b.peer, b.pool.settings.Relay.Address(), relaywire.Append(nil, header, nil))
+	require.Equal(t, header, <-b.engine.records)
+}
+
+func TestRefusalsGoToTheReturnAddress(t *testing.T) {
+	b := newBench(t, func(*traffic.Packet) traffic.Decision {
+		return traffic.Decision{Verb: traffic.VerbRefuse, RetryAfter: time.Second}
+	})
+	send(b.outside, b.pool.settings.Fabric.Address(), opening(t, 40000))
+	got := receive(t, b.outside, 1)[0]
+	refusal, ok := packet.ParseRefusal(got.Slot[:got.Size])
+	require.True(t, ok)
+	require.Equal(t, time.Second, refusal.RetryAfter)
+	require.Equal(t, uint16(40000), refusal.Key.Caller.Port())
+}
+
+func TestBadDatagramsAreCountedAndTheNextOneIsServed(t *testing.T) {
+	data := opening(t, 40000)
+	header := relay.Header{Kind: relay.KindPacket}
+	tooManyHops := relay.Header{Kind: relay.KindPacket, Hops: relay.MaxHops + 1}
+	tests := []struct {
+		counter  string
+		relay    bool
+		stranger bool
+		datagram []byte
+	}{
+		{counter: "packet_truncated", datagram: data[:25]},
+		{counter: "packet_ip_version", datagram: []byte("GET /")},
+		{counter: "packet_too_long", datagram: make([]byte, MaxPacketSize+1)},
+		{counter: "relay_not_a_member", relay: true, stranger: true, datagram: relaywire.Append(nil, header, data)},
+		{counter: "relay_too_many_hops", relay: true, datagram: relaywire.Append(nil, tooManyHops, data)},
+		{counter: "relay_version", relay: true, datagram: make([]byte, relay.HeaderSize)},
+		{counter: "relay_short", relay: true, datagram: []byte{relay.Version}},
+		{counter: "packet_truncated", relay: true, datagram: relaywire.Append(nil, header, data[:25])},
+	}
+	for _, test := range tests {
+		t.Run(test.counter, func(t *testing.T) {
+			b := newBench(t, nil)
+			from, to := b.outside, b.pool.settings.Fabric.Address()
+			valid := data
+			if test.relay {
+				to = b.pool.settings.Relay.Address()
+			}
+			if test.relay && !test.stranger {
+				from = b.peer
+			}
+			send(from, to, test.datagram)
+			if test.relay {
+				from, valid = b.peer, relaywire.Append(nil, header, data)
+			}
+			send(from, to, valid)
+			got := receive(t, b.outside, 1)[0]
+			require.Equal(t, data, []byte(got.Slot[:got.Size]))
+			require.Equal(t, int64(1), b.counter(t, test.counter))
+			require.Equal(t, int64(1), b.counter(t, "forwarded"))
+		})
+	}
+}
+
+func TestPassOnEndsOnce(t *testing.T) {
+	b := newBench(t, nil)
+	b.pool.PassOn()
+	b.pool.PassOn()
+	<-b.passedOn
+	for _, got := range receive(t, b.peer, portions) {
+		require.Equal(t, relay.HeaderSize, got.Size)
+	}
+	b.pool.PassOn()
+	require.Zero(t, b.pool.passing.Load())
+}
+
+func TestEveryCounterHasAUniqueName(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, counter := range newBench(t, nil).pool.Counters() {
+		require.NotEmpty(t, counter.Name)
+		require.False(t, seen[counter.Name], counter.Name)
+		seen[counter.Name] = true
+	}
+}
--- a/internal/transport/workers/reader.go
+++ b/internal/transport/workers/reader.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net"
+	"os"
+	"time"
 
 	"github.com/guavawharf/guavawharf/internal/protocol/packet"
 	"github.com/guavawharf/guavawharf/internal/protocol/relaywire"
@@ -42,6 +44,23 @@
 	}
 }
 
+// ended tells whether reading is over. Any other error is counted and followed
+// by a pause, so that one that stays does not use up the processor.
+func (s *sorter) ended(err error) bool {
+	if err == nil {
+		return false
+	}
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return true
+	}
+	s.counts.event(EventReceiveFailed)
+	time.Sleep(failurePause)
+	return false
+}
+
+// failurePause is the wait after a failed read.
+const failurePause = time.Millisecond
+
 // fabricReader reads callers' packets.
 type fabricReader struct {
 	sorter *sorter
@@ -57,7 +76,7 @@
 	for {
 		err := r.reader.Read(r.handle)
 		r.sorter.flush()
-		if errors.Is(err, net.ErrClosed) {
+		if r.sorter.ended(err) {
 			return
 		}
 	}
@@ -96,7 +115,7 @@
 	for {
 		err := r.reader.Read(r.handle)
 		r.sorter.flush()
-		if errors.Is(err, net.ErrClosed) {
+		if r.sorter.ended(err) {
 			return
 		}
 	}
