--- a/internal/coordination/control/world_test.go
+++ b/internal/coordination/control/world_test.go
@@ -48,6 +48,7 @@
 	stopped  bool
 	queue    []func()
 	snapshot *state.Snapshot
+	booted   time.Time
 	draining map[state.TargetID]time.Time
 }
 
@@ -65,6 +66,9 @@
 	promises promises
 	// onCall and onAnswer see each platform call before it runs and after.
 	onCall   func(n *node, call objects.Call)
+	onStep   func()
+	onPassed func(n *node)
+	onAction func(n *node, action Action)
 	onAnswer func(n *node, call objects.Call, outcome objects.Outcome)
 }
 
@@ -102,6 +106,8 @@
 		}
 	}
 	n.run++
+	n.booted = w.now
+	delete(w.promises.reached, n.host.ID)
 	n.alive, n.paused, n.stopped, n.queue, n.snapshot = true, false, false, nil, nil
 	n.draining = make(map[state.TargetID]time.Time)
 	settings := Settings{Self: n.host, Incarnation: n.run, Peers: peers, ReleaseVariant: w.variant}
@@ -164,6 +170,9 @@
 
 func (w *world) step(n *node, event Event) {
 	for _, action := range n.core.Step(w.now, event) {
+		if w.onAction != nil {
+			w.onAction(n, action)
+		}
 		switch act := action.(type) {
 		case Send:
 			w.link.send(w, n, act)
@@ -174,12 +183,20 @@
 			w.promises.published(n)
 		case PassRecordsOn:
 			run := n.run
-			w.after(300*time.Millisecond, func() { w.deliver(n, run, RecordsPassedOn{}) })
+			w.after(300*time.Millisecond, func() {
+				w.deliver(n, run, RecordsPassedOn{})
+				if w.onPassed != nil {
+					w.onPassed(n)
+				}
+			})
 		case Stop:
 			n.alive, n.stopped = false, true
 		}
 	}
 	w.promises.stepped(n)
+	if w.onStep != nil {
+		w.onStep()
+	}
 }
 
 func (w *world) kill(n *node) { n.alive = false }
--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -15,7 +15,7 @@
 		Incarnation: g.Incarnation,
 		Version:     g.Version,
 	})
-	m.noteOutdated(from.ID, g.Incarnation)
+	m.noteOutdated(from, g.Incarnation)
 	for _, e := range g.Entries {
 		m.apply(from, e)
 	}
@@ -23,11 +23,15 @@
 }
 
 // noteOutdated remembers that a host speaks with an incarnation that is lower
-// than what is known of it, so that the next message tells it.
-func (m *Machine) noteOutdated(id state.HostID, incarnation uint64) {
-	if known := m.table.get(id); known != nil {
-		known.outdated = known.incarnation > incarnation
+// than what is known of it, or the same with other addresses: a restarted host
+// that the next message makes raise its incarnation.
+func (m *Machine) noteOutdated(from state.Host, incarnation uint64) {
+	known := m.table.get(from.ID)
+	if known == nil {
+		return
 	}
+	moved := known.incarnation == incarnation && known.host != from
+	known.outdated = known.incarnation > incarnation || moved
 }
 
 // apply takes in one entry.
@@ -51,13 +55,18 @@
 	m.merge(known, e)
 }
 
-// mayJudge tells whether the sender's verdict counts: hosts of one domain judge
-// each other, and another domain's hosts are judged there or by this domain.
+// mayJudge tells whether the sender's verdict counts. Suspicion counts inside
+// this domain only: the refutation may take longer to come from another domain
+// than the suspicion lasts. Death counts from this domain and from the dead
+// host's own.
 func (m *Machine) mayJudge(from state.Host, e Entry) bool {
-	if e.Status == state.HostAlive {
-		return true
+	switch e.Status {
+	case state.HostSuspect:
+		return from.Domain == m.self.Domain
+	case state.HostDead:
+		return from.Domain == m.self.Domain || from.Domain == e.Host.Domain
 	}
-	return from.Domain == m.self.Domain || from.Domain == e.Host.Domain
+	return true
 }
 
 // refute answers a belief about this host that is newer than its own.
@@ -65,7 +74,8 @@
 	if e.Incarnation < m.incarnation {
 		return
 	}
-	if e.Incarnation == m.incarnation && e.Status == state.HostAlive {
+	moved := e.Host.Control.IsValid() && e.Host != m.self
+	if e.Incarnation == m.incarnation && e.Status == state.HostAlive && !moved {
 		return
 	}
 	m.incarnation = e.Incarnation + 1
--- a/internal/coordination/membership/domains.go
+++ b/internal/coordination/membership/domains.go
@@ -78,7 +78,9 @@
 
 // contactEntries adds some of this domain's contacts in turn.
 func (m *Machine) contactEntries(entries []Entry, to state.HostID) []Entry {
-	own := m.table.filter(func(k *member) bool { return k.host.Domain == m.self.Domain })
+	own := m.table.filter(func(k *member) bool {
+		return k.host.Domain == m.self.Domain && k.status != state.HostSuspect
+	})
 	slices.SortFunc(own, byContactRank)
 	own = own[:min(len(own), MaxContacts)]
 	for range min(MaxUpdates, len(own)) {
@@ -88,6 +90,19 @@
 	return entries
 }
 
+// introduction adds a live host of a third domain in turn, so that domains that
+// do not know each other meet.
+func (m *Machine) introduction(entries []Entry, to state.Host) []Entry {
+	third := m.table.filter(func(k *member) bool {
+		return k.status == state.HostAlive && k.host.Domain != m.self.Domain && k.host.Domain != to.Domain
+	})
+	if len(third) == 0 {
+		return entries
+	}
+	m.thirdTurn = (m.thirdTurn + 1) % len(third)
+	return m.appendEntry(entries, third[m.thirdTurn].host.ID, to.ID)
+}
+
 // ownDigest sums up this host's domain.
 func (m *Machine) ownDigest() Digest {
 	d := Digest{
--- a/internal/coordination/release/notes.go
+++ b/internal/coordination/release/notes.go
@@ -146,7 +146,9 @@
 		content.Note = m.notes.find(ask.Note)
 	}
 	if m.Version() > ask.Have {
-		content.Accepted = m.notes.after(ask.Have, m.Version())
+		if ask.Have > 0 {
+			content.Accepted = m.notes.after(ask.Have, m.Version())
+		}
 		if content.Accepted == nil {
 			content.Release = m.current
 		}
@@ -166,6 +168,9 @@
 	if content.Release != nil {
 		m.install(now, content.Release)
 	}
+	if m.settings.Variant == VariantVersionFalls && m.Version() < before {
+		return
+	}
 	m.advance(now)
 	m.stage(now)
 	if changed || m.Version() != before {
@@ -245,13 +250,14 @@
 	}
 }
 
-// fetchFromPlatform reads the missing notes, or the newest checkpoint.
+// fetchFromPlatform reads the missing notes, or the newest checkpoint if this
+// host holds nothing or the head no longer names all missing notes.
 func (m *Machine) fetchFromPlatform(now time.Time) {
 	if m.head.Version <= m.Version() {
 		return
 	}
 	chain := m.chain()
-	if chain == nil {
+	if chain == nil || (m.current == nil && m.head.Checkpoint > 0) {
 		m.listCheckpoint(now)
 		return
 	}
