--- a/internal/transport/workers/pool_test.go
+++ b/internal/transport/workers/pool_test.go
@@ -219,7 +219,7 @@
 		datagram []byte
 	}{
 		{counter: "packet_truncated", datagram: data[:25]},
-		{counter: "packet_ip_version", datagram: []byte("GET /")},
+		{counter: "packet_ip_version", datagram: []byte{0x10, 0, 0, 0}},
 		{counter: "packet_too_long", datagram: make([]byte, MaxPacketSize+1)},
 		{counter: "relay_not_a_member", relay: true, stranger: true, datagram: relaywire.Append(nil, header, data)},
 		{counter: "relay_too_many_hops", relay: true, datagram: relaywire.Append(nil, tooManyHops, data)},
