Judge targets by the forward path and their own lagging reports

Ejection of outliers is capped per service and ignored below the panic threshold; a target's own word takes work away from it and wins it at most a fifth more, only where the forward path proves it well. New and returned targets start slowly. Success is judged against the service's median, so that services whose success is not seen (datagrams, hash only) are not judged.

A property test found that a second look at one moment could give another verdict: expired ejections were ended after the median was taken. They now end first.

--- /dev/null
+++ b/internal/coordination/health/tracker.go
@@ -0,0 +1,157 @@
+// Package health decides how much new work each target gets, from what the
+// forward path shows of it and from its own lagging reports. A target's own
+// word can take work away from it; it can win it only a little more, and never
+// against what the forward path shows. The package is pure: the time is passed
+// in.
+package health
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Verdict is what a target gets.
+type Verdict struct {
+	Number state.TargetNumber
+	// Ejected targets get no new flows.
+	Ejected bool
+	// ShareMilli is its share of new flows, in thousandths of a full one.
+	ShareMilli uint32
+	// Leaving targets get no new flows: their own drain signal says so.
+	Leaving bool
+}
+
+// Tracker holds what is known of all targets. It is not safe for concurrent
+// use.
+type Tracker struct {
+	settings Settings
+	targets  map[state.TargetNumber]*target
+	reports  map[state.TargetID]*report
+}
+
+// New returns a tracker that knows nothing.
+func New(settings Settings) *Tracker {
+	return &Tracker{
+		settings: settings.withDefaults(),
+		targets:  make(map[state.TargetNumber]*target),
+		reports:  make(map[state.TargetID]*report),
+	}
+}
+
+// Report takes in what the forward path saw since the last report.
+func (t *Tracker) Report(now time.Time, samples []Sample) {
+	for _, s := range samples {
+		if known, ok := t.targets[s.Target]; ok {
+			known.seen.add(now, t.settings.HalfLife, s)
+		}
+	}
+}
+
+// Loads takes in the targets' own reports. The newest word of each counts; a
+// target that the list lacks keeps its last one for reportRetention.
+func (t *Tracker) Loads(now time.Time, list objects.LoadList) {
+	for _, l := range list.Loads {
+		known, ok := t.reports[l.Target]
+		if ok && !l.At.After(known.at) {
+			continue
+		}
+		t.reports[l.Target] = &report{
+			healthy:  l.Healthy,
+			draining: l.Draining,
+			load:     min(max(l.Load, 0), 1),
+			at:       l.At,
+			heard:    now,
+		}
+	}
+	t.dropAbsent(now, list)
+}
+
+// dropAbsent forgets old reports of targets that the list lacks.
+func (t *Tracker) dropAbsent(now time.Time, list objects.LoadList) {
+	listed := make(map[state.TargetID]bool, len(list.Loads))
+	for _, l := range list.Loads {
+		listed[l.Target] = true
+	}
+	maps.DeleteFunc(t.reports, func(id state.TargetID, r *report) bool {
+		return !listed[id] && now.Sub(r.heard) >= reportRetention
+	})
+}
+
+// Forget drops what is known of a target that is gone.
+func (t *Tracker) Forget(number state.TargetNumber) { delete(t.targets, number) }
+
+// Verdicts judges the targets, each service by itself, and returns one verdict
+// per entry in order of number. Targets seen for the first time are added.
+func (t *Tracker) Verdicts(now time.Time, entries []*state.TargetEntry) []Verdict {
+	sorted := slices.SortedFunc(slices.Values(entries), func(a, b *state.TargetEntry) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Number, b.Number))
+	})
+	verdicts := make([]Verdict, 0, len(sorted))
+	for start := 0; start < len(sorted); {
+		end := start + 1
+		for end < len(sorted) && sorted[end].Service == sorted[start].Service {
+			end++
+		}
+		verdicts = append(verdicts, t.judgeService(now, sorted[start:end])...)
+		start = end
+	}
+	slices.SortFunc(verdicts, func(a, b Verdict) int { return cmp.Compare(a.Number, b.Number) })
+	return verdicts
+}
+
+// candidate is a target of the service being judged.
+type candidate struct {
+	*target
+	entry   *state.TargetEntry
+	report  *report
+	leaving bool
+	share   float64
+}
+
+// available tells whether the target may get new flows, health aside.
+func (c *candidate) available() bool { return !c.leaving && !c.entry.Leaving && !c.entry.Withdrawn }
+
+func (t *Tracker) judgeService(now time.Time, entries []*state.TargetEntry) []Verdict {
+	all := make([]*candidate, 0, len(entries))
+	var available []*candidate
+	for _, entry := range entries {
+		c := t.candidate(now, entry)
+		all = append(all, c)
+		if c.available() {
+			available = append(available, c)
+		}
+	}
+	t.endEjections(now, available)
+	reference := t.referenceSuccess(available)
+	ignored := t.updateEjections(now, available, reference)
+	t.computeShares(now, available, reference, ignored)
+	verdicts := make([]Verdict, 0, len(all))
+	for _, c := range all {
+		verdicts = append(verdicts, Verdict{
+			Number:     c.number,
+			Ejected:    c.ejected && c.available() && !ignored,
+			ShareMilli: rounded(c.share),
+			Leaving:    c.leaving,
+		})
+	}
+	return verdicts
+}
+
+func (t *Tracker) candidate(now time.Time, entry *state.TargetEntry) *candidate {
+	known, ok := t.targets[entry.Number]
+	if !ok {
+		known = &target{number: entry.Number, since: now, seen: evidence{at: now}}
+		t.targets[entry.Number] = known
+	}
+	known.seen.decay(now, t.settings.HalfLife)
+	own, ok := t.reports[entry.ID]
+	if !ok {
+		own = &report{healthy: true}
+	}
+	return &candidate{target: known, entry: entry, report: own, leaving: own.draining, share: FullShare}
+}
--- /dev/null
+++ b/internal/coordination/health/tracker_test.go
@@ -0,0 +1,344 @@
+package health
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// world is a tracker with the targets of one service.
+type world struct {
+	tracker *Tracker
+	now     time.Time
+	entries []*state.TargetEntry
+}
+
+func newWorld(targets int) *world {
+	w := &world{tracker: New(Settings{}), now: epoch}
+	for i := range targets {
+		w.add(i + 1)
+	}
+	w.verdicts()
+	w.now = w.now.Add(DefaultSlowStart)
+	return w
+}
+
+func (w *world) add(number int) {
+	entry := &state.TargetEntry{Service: 100, ShareMilli: FullShare}
+	entry.Number = state.TargetNumber(number)
+	entry.ID = id(number)
+	w.entries = append(w.entries, entry)
+}
+
+func id(number int) state.TargetID { return state.TargetID(fmt.Sprintf("target-%d", number)) }
+
+func (w *world) verdicts() map[int]Verdict {
+	found := make(map[int]Verdict)
+	for _, v := range w.tracker.Verdicts(w.now, w.entries) {
+		found[int(v.Number)] = v
+	}
+	return found
+}
+
+// serve passes a second in which every target gets openings, of which the part
+// that success gives is completed.
+func (w *world) serve(openings int64, success func(number int) float64) map[int]Verdict {
+	w.now = w.now.Add(time.Second)
+	var samples []Sample
+	for _, e := range w.entries {
+		completed := int64(float64(openings) * success(int(e.Number)))
+		samples = append(samples, Sample{Target: e.Number, Openings: openings, Completed: completed})
+	}
+	w.tracker.Report(w.now, samples)
+	return w.verdicts()
+}
+
+func (w *world) loads(loads ...objects.TargetLoad) {
+	for i := range loads {
+		if loads[i].At.IsZero() {
+			loads[i].At = w.now
+		}
+	}
+	w.tracker.Loads(w.now, objects.LoadList{Loads: loads})
+}
+
+func well(int) float64 { return 1 }
+
+// failing returns the success of a service whose given targets fail.
+func failing(numbers ...int) func(int) float64 {
+	return func(n int) float64 {
+		if slices.Contains(numbers, n) {
+			return 0.1
+		}
+		return 1
+	}
+}
+
+func ejected(verdicts map[int]Verdict) []int {
+	var numbers []int
+	for n, v := range verdicts {
+		if v.Ejected {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+func TestEjection(t *testing.T) {
+	cases := map[string]struct {
+		targets int
+		failing []int
+		ejected []int
+	}{
+		"none fails":                      {14, nil, nil},
+		"one of fourteen":                 {14, []int{3}, []int{3}},
+		"as many as the cap":              {14, []int{1, 2, 3, 4}, []int{1, 2, 3, 4}},
+		"more than the cap":               {14, []int{1, 2, 3, 4, 5, 6}, []int{1, 2, 3, 4}},
+		"below the panic threshold":       {14, []int{1, 2, 3, 4, 5, 6, 7, 8}, nil},
+		"one of two":                      {2, []int{1}, []int{1}},
+		"the only one":                    {1, []int{1}, nil},
+		"one of four":                     {4, []int{4}, []int{4}},
+		"all: the fault lies not with us": {4, []int{1, 2, 3, 4}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(c.targets)
+			w.serve(20, well)
+			var verdicts map[int]Verdict
+			for range 12 {
+				verdicts = w.serve(20, failing(c.failing...))
+				w.now = w.now.Add(-800 * time.Millisecond)
+			}
+			require.Equal(t, c.ejected, ejected(verdicts))
+		})
+	}
+}
+
+func TestEjectionEndsSlowlyAndGrowsWhenRepeated(t *testing.T) {
+	w := newWorld(14)
+	var lengths []time.Duration
+	for range 3 {
+		for len(ejected(w.serve(20, failing(3)))) == 0 {
+			continue
+		}
+		began := w.now
+		for len(ejected(w.serve(0, well))) > 0 {
+			continue
+		}
+		lengths = append(lengths, w.now.Sub(began).Round(DefaultEjectFor))
+		require.LessOrEqual(t, w.verdicts()[3].ShareMilli, uint32(200), "returns with a small share")
+	}
+	require.Equal(t, []time.Duration{DefaultEjectFor, 2 * DefaultEjectFor, 3 * DefaultEjectFor}, lengths)
+}
+
+func TestTargetThatLiesGainsLittle(t *testing.T) {
+	cases := map[string]struct {
+		lie     objects.TargetLoad
+		success float64
+		// most bounds the liar's share against an honest one's.
+		most float64
+	}{
+		"idle, does well":       {objects.TargetLoad{Healthy: true, Load: 0}, 1, maxLoadFactor},
+		"idle, does less well":  {objects.TargetLoad{Healthy: true, Load: 0}, 0.7, 0.8},
+		"idle, fails":           {objects.TargetLoad{Healthy: true, Load: 0}, 0.1, 0},
+		"idle, from the future": {objects.TargetLoad{Healthy: true, Load: 0, At: epoch.Add(time.Hour)}, 1, maxLoadFactor},
+		"idle, below zero":      {objects.TargetLoad{Healthy: true, Load: -1e9}, 1, maxLoadFactor},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(14)
+			var verdicts map[int]Verdict
+			for range 10 {
+				loads := []objects.TargetLoad{c.lie}
+				loads[0].Target = id(1)
+				for n := 2; n <= 14; n++ {
+					loads = append(loads, objects.TargetLoad{Target: id(n), Healthy: true, Load: 0.8})
+				}
+				w.loads(loads...)
+				verdicts = w.serve(20, func(n int) float64 {
+					if n == 1 {
+						return c.success
+					}
+					return 1
+				})
+			}
+			liar, honest := verdicts[1], verdicts[2]
+			got := float64(liar.ShareMilli) / float64(honest.ShareMilli)
+			if liar.Ejected {
+				got = 0
+			}
+			require.LessOrEqual(t, got, c.most+float64(ShareStep)/FullShare)
+		})
+	}
+}
+
+func TestReportedOverloadLowersTheShareWhileFresh(t *testing.T) {
+	w := newWorld(4)
+	w.loads(
+		objects.TargetLoad{Target: id(1), Healthy: true, Load: 1},
+		objects.TargetLoad{Target: id(2), Healthy: true, Load: 0.3},
+		objects.TargetLoad{Target: id(3), Healthy: true, Load: 0.3},
+		objects.TargetLoad{Target: id(4), Healthy: true, Load: 0.3},
+	)
+	fresh := w.verdicts()[1].ShareMilli
+	w.now = w.now.Add(DefaultLoadHorizon / 2)
+	older := w.verdicts()[1].ShareMilli
+	w.now = w.now.Add(DefaultLoadHorizon)
+	require.Equal(t, uint32(FullShare), w.verdicts()[1].ShareMilli)
+	require.Less(t, fresh, older)
+	require.Less(t, older, uint32(FullShare))
+	require.GreaterOrEqual(t, float64(fresh), minLoadFactor*FullShare)
+}
+
+func TestSmallDifferencesOfLoadChangeNothing(t *testing.T) {
+	w := newWorld(14)
+	rng := rand.New(rand.NewPCG(1, 2))
+	var loads []objects.TargetLoad
+	for n := 1; n <= 14; n++ {
+		loads = append(loads, objects.TargetLoad{Target: id(n), Healthy: true, Load: 0.5 + rng.Float64()*loadTolerance})
+	}
+	w.loads(loads...)
+	for n, v := range w.serve(20, well) {
+		require.EqualValues(t, FullShare, v.ShareMilli, "target %d", n)
+	}
+}
+
+func TestReportedSickness(t *testing.T) {
+	w := newWorld(14)
+	sick := objects.TargetLoad{Target: id(2), Healthy: false}
+	w.loads(sick)
+	require.Equal(t, []int{2}, ejected(w.verdicts()), "believed while nothing speaks against it")
+
+	proven := newWorld(14)
+	for range 5 {
+		proven.serve(20, well)
+	}
+	proven.loads(sick)
+	require.Empty(t, ejected(proven.verdicts()), "the forward path proves it wrong")
+
+	stale := newWorld(14)
+	sick.At = stale.now.Add(-DefaultLoadHorizon)
+	stale.loads(sick)
+	require.Empty(t, ejected(stale.verdicts()), "too old")
+}
+
+func TestDrainingTargetsLeave(t *testing.T) {
+	w := newWorld(4)
+	w.loads(objects.TargetLoad{Target: id(1), Healthy: true, Draining: true})
+	w.now = w.now.Add(time.Hour)
+	require.True(t, w.verdicts()[1].Leaving, "an old drain signal still holds")
+	w.loads(objects.TargetLoad{Target: id(1), Healthy: true, At: epoch})
+	require.True(t, w.verdicts()[1].Leaving, "an older report changes nothing")
+	w.loads(objects.TargetLoad{Target: id(1), Healthy: true})
+	require.False(t, w.verdicts()[1].Leaving)
+}
+
+func TestNewTargetStartsSlowly(t *testing.T) {
+	w := newWorld(4)
+	w.add(5)
+	require.EqualValues(t, startFactor*FullShare, w.verdicts()[5].ShareMilli)
+	last := uint32(0)
+	for range int(DefaultSlowStart / time.Second) {
+		share := w.serve(20, well)[5].ShareMilli
+		require.GreaterOrEqual(t, share, last)
+		last = share
+	}
+	require.EqualValues(t, FullShare, last)
+	w.tracker.Forget(5)
+	require.EqualValues(t, startFactor*FullShare, w.verdicts()[5].ShareMilli)
+}
+
+func TestWholeServiceStartsAtFullShare(t *testing.T) {
+	w := &world{tracker: New(Settings{}), now: epoch}
+	for n := range 4 {
+		w.add(n + 1)
+	}
+	for _, v := range w.verdicts() {
+		require.EqualValues(t, FullShare, v.ShareMilli)
+	}
+}
+
+func TestRetransmissionsLowerTheShare(t *testing.T) {
+	w := newWorld(4)
+	for range 5 {
+		w.serve(20, well)
+		w.tracker.Report(w.now, []Sample{{Target: 1, Retransmits: 20}, {Target: 2, Retransmits: 1}})
+	}
+	verdicts := w.verdicts()
+	require.EqualValues(t, strainFactor*FullShare, verdicts[1].ShareMilli)
+	require.EqualValues(t, FullShare, verdicts[2].ShareMilli)
+}
+
+func TestServicesWhoseSuccessIsNotSeenAreNotJudged(t *testing.T) {
+	w := newWorld(4)
+	for range 10 {
+		verdicts := w.serve(50, func(n int) float64 { return float64(n) / 20 })
+		require.Empty(t, ejected(verdicts))
+		require.EqualValues(t, FullShare, verdicts[1].ShareMilli)
+	}
+}
+
+// TestVerdictBounds lets targets fail, lie, drain and vanish at random.
+func TestVerdictBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := rapid.IntRange(1, 20).Draw(rt, "targets")
+		w := newWorld(targets)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "ms")) * time.Millisecond)
+			e := w.entries[rapid.IntRange(0, targets-1).Draw(rt, "target")]
+			w.tracker.Report(w.now, []Sample{{
+				Target:      e.Number,
+				Openings:    rapid.Int64Range(-5, 100).Draw(rt, "openings"),
+				Completed:   rapid.Int64Range(-5, 100).Draw(rt, "completed"),
+				Retransmits: rapid.Int64Range(-5, 100).Draw(rt, "retransmits"),
+				Resets:      rapid.Int64Range(-5, 100).Draw(rt, "resets"),
+			}})
+			w.loads(objects.TargetLoad{
+				Target:   e.ID,
+				Healthy:  rapid.Bool().Draw(rt, "healthy"),
+				Draining: rapid.IntRange(0, 5).Draw(rt, "draining") == 0,
+				Load:     rapid.Float64Range(-2, 3).Draw(rt, "load"),
+				At:       w.now.Add(time.Duration(rapid.IntRange(-60, 60).Draw(rt, "age")) * time.Second),
+			})
+			e.Withdrawn = rapid.IntRange(0, 9).Draw(rt, "withdrawn") == 0
+			checkVerdicts(rt, w)
+		}
+	})
+}
+
+func checkVerdicts(rt *rapid.T, w *world) {
+	verdicts := w.tracker.Verdicts(w.now, w.entries)
+	require.Len(rt, verdicts, len(w.entries))
+	require.True(rt, slices.IsSortedFunc(verdicts, func(a, b Verdict) int { return int(a.Number) - int(b.Number) }))
+	available, ejections, full := 0, 0, 0
+	for i, v := range verdicts {
+		require.GreaterOrEqual(rt, v.ShareMilli, uint32(MinShare))
+		require.LessOrEqual(rt, v.ShareMilli, uint32(FullShare))
+		if v.Leaving || w.entries[i].Withdrawn {
+			require.False(rt, v.Ejected)
+			continue
+		}
+		available++
+		if v.Ejected {
+			ejections++
+		} else if v.ShareMilli == FullShare {
+			full++
+		}
+	}
+	require.LessOrEqual(rt, ejections, Settings{}.withDefaults().MaxEjections(available))
+	require.True(rt, available == 0 || full > 0, "someone takes a full share")
+	shuffled := slices.Clone(w.entries)
+	slices.Reverse(shuffled)
+	require.Equal(rt, verdicts, w.tracker.Verdicts(w.now, shuffled), "order does not matter")
+}
