Hold a resumed host back at its first event, and test the gates

A host that stood still held new flows back only from its next tick; it now notices at whatever comes first. Tests now fail when the gate after a return, the gate after a pause or the deadline of a leave is taken out; before, they did not.

--- a/internal/coordination/control/hostmatrix_test.go
+++ b/internal/coordination/control/hostmatrix_test.go
@@ -100,7 +100,7 @@
 		c.w.deliver(c.subject, c.subject.run, LeaveRequested{})
 		c.strike("announced")
 	}
-	c.w.onStep = func() {
+	c.w.onStep = func(*node) {
 		c.watchSteps()
 		c.sawReady()
 	}
--- a/internal/coordination/control/lifecycle_test.go
+++ b/internal/coordination/control/lifecycle_test.go
@@ -95,3 +95,15 @@
 	require.True(t, w.until(catchUp, func() bool { return w.inForce(2) }))
 	require.Empty(t, w.promises.broken)
 }
+
+func TestLeaveEndsAtItsDeadlineThoughRecordsStay(t *testing.T) {
+	w := settled(t, 15, release.VariantSound, 3, 2, 2)
+	leaver := w.nodes[0]
+	w.keepRecords = true
+	w.deliver(leaver, leaver.run, LeaveRequested{})
+	w.run(DefaultLeaveDeadline - time.Second)
+	require.True(t, leaver.alive)
+	require.True(t, leaver.snapshot.Leaving)
+	w.run(2 * time.Second)
+	require.True(t, leaver.stopped)
+}
--- a/internal/coordination/control/outage_test.go
+++ b/internal/coordination/control/outage_test.go
@@ -32,7 +32,17 @@
 		}
 	}
 	w.link.cut, w.store.cut = nil, nil
+	heldBack := false
+	w.onStep = func(*node) {
+		for _, n := range w.nodes {
+			if n.core.release.Known().Version > n.snapshot.Version {
+				heldBack = true
+				require.False(t, n.snapshot.Ready, n.host.ID)
+			}
+		}
+	}
 	require.True(t, w.until(catchUp, func() bool { return w.inForce(2) }))
+	require.True(t, heldBack, "the gap between hearing of a release and holding it was seen")
 	require.Empty(t, w.promises.broken)
 }
 
@@ -83,9 +93,14 @@
 	w.run(20 * time.Second)
 	w.store.submit(nextNote("second", 1))
 	w.run(10 * time.Second)
+	paused.queue = nil
+	before := paused.snapshot
+	w.onStep = func(n *node) {
+		require.False(t, n == paused && n.snapshot.Ready && n.snapshot.Version < 2)
+	}
 	w.resume(paused)
 	w.run(TickInterval)
-	require.False(t, paused.snapshot.Ready && paused.snapshot.Version < 2)
+	require.NotSame(t, before, paused.snapshot)
 	require.True(t, w.until(catchUp, func() bool { return w.inForce(2) }))
 	require.Empty(t, w.promises.broken)
 }
--- a/internal/coordination/control/world_test.go
+++ b/internal/coordination/control/world_test.go
@@ -65,11 +65,13 @@
 	store    *store
 	promises promises
 	// onCall and onAnswer see each platform call before it runs and after.
-	onCall   func(n *node, call objects.Call)
-	onStep   func()
-	onPassed func(n *node)
-	onAction func(n *node, action Action)
-	onAnswer func(n *node, call objects.Call, outcome objects.Outcome)
+	onCall func(n *node, call objects.Call)
+	// keepRecords lets no host pass its flow records on.
+	keepRecords bool
+	onStep      func(n *node)
+	onPassed    func(n *node)
+	onAction    func(n *node, action Action)
+	onAnswer    func(n *node, call objects.Call, outcome objects.Outcome)
 }
 
 func newWorld(seed uint64, variant release.Variant, sizes ...int) *world {
@@ -182,6 +184,9 @@
 			n.snapshot = act.Snapshot
 			w.promises.published(n)
 		case PassRecordsOn:
+			if w.keepRecords {
+				continue
+			}
 			run := n.run
 			w.after(300*time.Millisecond, func() {
 				w.deliver(n, run, RecordsPassedOn{})
@@ -195,7 +200,7 @@
 	}
 	w.promises.stepped(n)
 	if w.onStep != nil {
-		w.onStep()
+		w.onStep(n)
 	}
 }
 
--- a/internal/coordination/release/machine.go
+++ b/internal/coordination/release/machine.go
@@ -127,6 +127,7 @@
 
 // Receive handles a message of this package and ignores others.
 func (m *Machine) Receive(now time.Time, from state.Host, received message.Message) {
+	m.noticePause(now)
 	switch msg := received.(type) {
 	case News:
 		m.receiveNews(now, from, msg)
