--- a/internal/coordination/traffic/experiment/plan.go
+++ b/internal/coordination/traffic/experiment/plan.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -19,6 +20,8 @@
 	Targets [2]int
 	// Between is the delay between failure domains.
 	Between time.Duration
+	// Protocol is that of all services; zero is TCP.
+	Protocol state.Protocol
 }
 
 // Huaman and Hanbit are today's two installations.
@@ -60,7 +63,7 @@
 	b := NewBed(seed, linkOf(t), settings)
 	b.release = state.Release{Version: 1, NextNumber: 1}
 	for i, targets := range t.Targets {
-		b.addService(i, way)
+		b.addService(i, way, cmp.Or(t.Protocol, state.TCP))
 		for n := range targets {
 			b.AddTarget(i, domainID(n%len(t.Hosts)))
 		}
@@ -81,13 +84,13 @@
 }
 
 // addService adds the i-th service to the release.
-func (b *Bed) addService(i int, way state.Way) {
+func (b *Bed) addService(i int, way state.Way, protocol state.Protocol) {
 	address := netip.AddrFrom4([4]byte{198, 51, 100, byte(i + 1)})
 	b.release.Services = append(b.release.Services, state.Service{
 		ID:          state.ServiceID(fmt.Sprintf("service-%d", i+1)),
 		Number:      state.ServiceNumber(b.number()),
 		Customer:    state.CustomerID(fmt.Sprintf("customer-%d", i+1)),
-		Protocol:    state.TCP,
+		Protocol:    protocol,
 		Address:     netip.AddrPortFrom(address, 443),
 		Way:         way,
 		IdleTimeout: time.Minute,
--- a/internal/coordination/traffic/experiment/plan_test.go
+++ b/internal/coordination/traffic/experiment/plan_test.go
@@ -105,6 +105,34 @@
 	}
 }
 
+func TestDatagramFlows(t *testing.T) {
+	for _, topology := range []Topology{Huaman, Hanbit} {
+		topology.Protocol = state.UDP
+		for _, c := range []change{releaseChange, drainTarget, drainHost, joinHost, killHost} {
+			name := topology.Name + " " + c.name
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range seeds() {
+					b := runChanges(topology, seed, state.WayOwner, traffic.Settings{}, c)
+					t.Logf("seed %d: %v", seed, b.Counts)
+					requireWhole(t, b, name)
+				}
+			})
+		}
+	}
+}
+
+// killSingle kills the only host of its failure domain.
+var killSingle = change{"single host kill", func(b *Bed) { b.KillHost(6) }}
+
+func TestSingleHostOfADomainKilled(t *testing.T) {
+	for seed := range seeds() {
+		b := runChanges(Hanbit, seed, state.WayOwner, traffic.Settings{}, killSingle, releaseChange)
+		t.Logf("seed %d: %v", seed, b.Counts)
+		requireWhole(t, b, "hanbit")
+	}
+}
+
 func TestContestedWayBreaksNoFlow(t *testing.T) {
 	for _, topology := range []Topology{Huaman, Hanbit} {
 		for _, c := range []change{nothing, releaseChange, drainTarget, drainHost, joinHost, killHost} {
