--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -145,11 +145,16 @@
 
 // forward sends the packet to a target if that still belongs to the service.
 func (e *Engine) forward(service state.ServiceNumber, number state.TargetNumber, reason Reason) Decision {
-	target := e.snap.Targets[number]
+	return e.deliver(service, e.snap.Targets[number], reason)
+}
+
+// deliver sends the packet to a target, which may be nil, if it belongs to the
+// service and its address has not passed to another one.
+func (e *Engine) deliver(service state.ServiceNumber, target *state.TargetEntry, reason Reason) Decision {
 	if target == nil || target.Service != service {
 		return drop(ReasonUnknownTarget)
 	}
-	if e.reused[number] {
+	if len(e.reused) > 0 && e.reused[target.Number] {
 		return drop(ReasonAddressReused)
 	}
 	return Decision{Verb: VerbForward, Reason: reason, Target: target}
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -86,9 +86,11 @@
 	if known && e.settledOpening(f) {
 		r.clear(flagTentative)
 	}
-	d := e.forward(r.service, r.target, ReasonNone)
+	var d Decision
 	if via {
 		d = e.relayHeader(f, f.owners.partner(), recordHeader(relay.KindOpening, r), ReasonToSecond)
+	} else {
+		d = e.deliver(r.service, target, ReasonNone)
 	}
 	e.repair(f, r, &d)
 	if via {
--- a/internal/coordination/traffic/second.go
+++ b/internal/coordination/traffic/second.go
@@ -123,7 +123,7 @@
 	}
 	e.observe(f, r, target)
 	r.refreshed = e.tick
-	return e.forward(r.service, r.target, ReasonNone)
+	return e.deliver(r.service, target, ReasonNone)
 }
 
 // returnToOwner hands a packet back to the owner that knows the target.
