Drop rather than guess while a failure domain may be cut off

Beyond that, an opening answered by nobody on one side replaced the open flow's record of the other side after the cut, and new flows were placed on targets beyond it. Ruled out: lost records; both sides still had theirs.

Change: no fallback for a minute after a domain lost all its hosts, for 5 minutes to targets of domains that have hosts; new flows go to domains with hosts; a record that has seen no packet in mid-flow never replaces one that has.

The price: when all hosts of a domain die and its targets live, flows wait a minute for the fallback.

--- a/internal/coordination/traffic/chain.go
+++ b/internal/coordination/traffic/chain.go
@@ -57,6 +57,8 @@
 	id     state.DomainID
 	seed   uint64
 	weight float64
+	// hosts is true if the domain has hosts that may own new flows.
+	hosts bool
 }
 
 // newServiceRoutes joins a service's domain weights with a view.
@@ -73,6 +75,7 @@
 		}
 		if w.Usable > 0 {
 			place := targetDomain{id: w.Domain, seed: domainSeed(w.Domain), weight: float64(w.Usable)}
+			place.hosts = i >= 0 && len(view.domains[i].alive) > 0
 			r.placing = append(r.placing, place)
 		}
 	}
@@ -142,12 +145,26 @@
 }
 
 // placeDomain returns the domain whose targets a new flow prefers: its home
-// domain, unless targets are leaving or the domain has no hosts. It is anyDomain
-// when no target takes new flows.
+// domain, unless targets are leaving. It is anyDomain when no domain with hosts
+// has targets that take new flows.
 func (r *serviceRoutes) placeDomain(fp state.Fingerprint) state.DomainID {
+	return r.bestPlace(fp, true)
+}
+
+// usualDomain is placeDomain as if every domain had hosts.
+func (r *serviceRoutes) usualDomain(fp state.Fingerprint) state.DomainID {
+	return r.bestPlace(fp, false)
+}
+
+// bestPlace returns the domain of targets that wins the weighted rendezvous;
+// anyDomain if there is none.
+func (r *serviceRoutes) bestPlace(fp state.Fingerprint, withHosts bool) state.DomainID {
 	winner := anyDomain
 	least := 0.0
 	for _, domain := range r.placing {
+		if withHosts && !domain.hosts {
+			continue
+		}
 		score := weightedScore(mix64(fp.High^domain.seed), domain.weight)
 		if winner == anyDomain || score < least {
 			winner = domain.id
--- a/internal/coordination/traffic/experiment/bed.go
+++ b/internal/coordination/traffic/experiment/bed.go
@@ -112,6 +112,8 @@
 	byID     map[state.HostID]*Host
 	targets  map[state.TargetNumber]*Target
 	byKey    map[string]*Target
+	// cut is the failure domain that is cut off from the others, if any.
+	cut state.DomainID
 	// callers numbers the callers, from a random start.
 	callers uint32
 	flows   []*Flow
@@ -175,7 +177,7 @@
 		b.After(b.jittered(b.link.Inside), do)
 		return
 	}
-	if b.lost() {
+	if b.lost() || from == b.cut || to == b.cut {
 		return
 	}
 	b.After(b.jittered(b.link.Between), do)
--- a/internal/coordination/traffic/experiment/plan.go
+++ b/internal/coordination/traffic/experiment/plan.go
@@ -187,6 +187,25 @@
 	b.tell(m, 2*leaveLinger)
 }
 
+// CutDomain cuts a failure domain off from the others for a time. Each side
+// declares the hosts of the other dead, and learns of them again afterwards.
+func (b *Bed) CutDomain(domain state.DomainID, d time.Duration) {
+	b.cut = domain
+	b.After(d, func() { b.cut = "" })
+	for _, h := range b.hosts {
+		for _, other := range b.hosts {
+			if (h.Domain == domain) == (other.Domain == domain) {
+				continue
+			}
+			m := other.Member()
+			dead := m
+			dead.Status = state.HostDead
+			b.After(detection+b.upTo(viewSkew), func() { h.Believe(dead) })
+			b.After(d+detection+b.upTo(viewSkew), func() { h.Believe(m) })
+		}
+	}
+}
+
 // JoinHost starts a new host in a domain.
 func (b *Bed) JoinHost(domain state.DomainID) {
 	id := state.HostID(fmt.Sprintf("host-%d", len(b.hosts)+1))
--- a/internal/coordination/traffic/experiment/plan_test.go
+++ b/internal/coordination/traffic/experiment/plan_test.go
@@ -149,6 +149,20 @@
 	}
 }
 
+func TestPartitionHeals(t *testing.T) {
+	for _, topology := range []Topology{Huaman, Hanbit} {
+		for _, length := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second} {
+			cut := change{"domain cut off", func(b *Bed) { b.CutDomain(domainID(1), length) }}
+			for seed := range seeds() {
+				b := runChanges(topology, seed, state.WayOwner, traffic.Settings{}, cut)
+				t.Logf("%s, %v, seed %d: %v", topology.Name, length, seed, b.Counts)
+				require.Zero(t, b.Counts.WrongService)
+				require.Zero(t, b.Counts.RefusedSeen)
+			}
+		}
+	}
+}
+
 func TestSingleOwnerBreaksFlows(t *testing.T) {
 	b := runChanges(Huaman, 1, state.WayOwner, traffic.Settings{SingleOwner: true}, killHost, releaseChange)
 	t.Logf("%v", b.Counts)
--- a/internal/coordination/traffic/judgement.go
+++ b/internal/coordination/traffic/judgement.go
@@ -135,10 +135,14 @@
 }
 
 // overrides reports whether the verdict replaces that of a record: what another
-// owner has confirmed does, unless it is a guess and the record is not.
+// owner has confirmed does, unless it is a guess and the record is not, or it
+// has seen no packet in mid-flow and the record has.
 func (v judgement) overrides(r *record) bool {
 	if v.verdict != relay.VerdictForward || v.agrees(r) || v.has(headerTentative) {
 		return false
 	}
+	if r.phase == phaseOpen && v.phase() == phaseOpening {
+		return false
+	}
 	return !v.has(headerGuessed) || r.has(flagGuessed)
 }
--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -182,7 +182,7 @@
 	if f.routes.entry.Way == state.WayContested {
 		return e.snap.Targets[table.Lookup(f.packet.Fingerprint.Low)]
 	}
-	home := f.routes.placeDomain(f.packet.Fingerprint)
+	home := f.routes.usualDomain(f.packet.Fingerprint)
 	var any *state.TargetEntry
 	for i := uint64(0); i < maxProbes; i++ {
 		t := e.snap.Targets[table.Lookup(probe(f.packet.Fingerprint, i))]
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -18,6 +18,9 @@
 	// ReasonUnsettled drops: an owner whose view or process is young cannot
 	// refuse an opening or fall back for a flow without a record.
 	ReasonUnsettled
+	// ReasonCutOff drops: a failure domain vanished lately, and with it perhaps
+	// the record of a flow.
+	ReasonCutOff
 	// ReasonUnknownTarget drops: the record's target is not known here.
 	ReasonUnknownTarget
 	// ReasonAddressReused drops: the target's address now serves another service.
@@ -67,6 +70,7 @@
 	ReasonTooManyHops:     "too_many_hops",
 	ReasonNoHosts:         "no_hosts",
 	ReasonUnsettled:       "unsettled",
+	ReasonCutOff:          "cut_off",
 	ReasonUnknownTarget:   "unknown_target",
 	ReasonAddressReused:   "address_reused",
 	ReasonRefusedFlow:     "refused_flow",
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/relay"
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -100,7 +101,8 @@
 
 // fallBack forwards a packet in mid-flow to the target that the base table
 // gives, and records that it was a guess. It does so only when neither this
-// process nor the owners are new: the record may be elsewhere.
+// process nor the owners are new and no failure domain has vanished lately: the
+// record may be elsewhere, and a wrong guess ends the flow.
 func (e *Engine) fallBack(f *flow) Decision {
 	if !e.settled(f.owners.home) || e.ownersChanged(f) {
 		return drop(ReasonUnsettled)
@@ -110,6 +112,9 @@
 	if target == nil {
 		return drop(ReasonNoTarget)
 	}
+	if e.mayBeCutOff(target) {
+		return drop(ReasonCutOff)
+	}
 	v := forwardTo(target.Number)
 	v.flags = headerGuessed | headerOpen
 	d := e.forward(target.Service, target.Number, ReasonFallback)
@@ -118,3 +123,17 @@
 	}
 	return d
 }
+
+// presentCutOff replaces Settings.CutOff for targets whose domain has hosts: a
+// wrong guess reaches them, and flows opened beyond the cut have other targets.
+const presentCutOff = 5 * time.Minute
+
+// mayBeCutOff reports whether a failure domain vanished so lately that a guess
+// for a flow's target may harm a flow whose record is there.
+func (e *Engine) mayBeCutOff(guess *state.TargetEntry) bool {
+	wait := e.settings.CutOff
+	if e.view.domain(guess.Domain) != nil {
+		wait = presentCutOff
+	}
+	return e.now.Sub(e.view.domainLost) < wait
+}
--- a/internal/coordination/traffic/settings.go
+++ b/internal/coordination/traffic/settings.go
@@ -29,6 +29,9 @@
 	// Overlap is how long after a change of owners an opening also visits the
 	// owner before the change.
 	Overlap time.Duration
+	// CutOff is how long after a failure domain lost all its hosts no packet
+	// falls back to the base table: the domain may be cut off, not dead.
+	CutOff time.Duration
 	// IdleTimeout applies to services that give none.
 	IdleTimeout time.Duration
 	// OpeningTimeout ends the record of a flow that sent openings alone.
@@ -54,6 +57,7 @@
 	DefaultBoundMilli     = 1020
 	DefaultSettle         = 500 * time.Millisecond
 	DefaultOverlap        = 3 * time.Second
+	DefaultCutOff         = time.Minute
 	DefaultIdleTimeout    = 5 * time.Minute
 	DefaultOpeningTimeout = 20 * time.Second
 	DefaultClosingTimeout = 30 * time.Second
@@ -67,6 +71,7 @@
 	setDefault(&s.BoundMilli, DefaultBoundMilli)
 	setDefault(&s.Settle, DefaultSettle)
 	setDefault(&s.Overlap, DefaultOverlap)
+	setDefault(&s.CutOff, DefaultCutOff)
 	setDefault(&s.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&s.OpeningTimeout, DefaultOpeningTimeout)
 	setDefault(&s.ClosingTimeout, DefaultClosingTimeout)
--- a/internal/coordination/traffic/view.go
+++ b/internal/coordination/traffic/view.go
@@ -38,6 +38,9 @@
 	domains []*domainRoute
 	// alive is the number of hosts that may own new flows.
 	alive int
+	// domainLost is when a failure domain last lost all its hosts; zero if none
+	// did.
+	domainLost time.Time
 }
 
 // newViewIndex prepares the view of a snapshot. Domains whose alive hosts are
@@ -59,6 +62,7 @@
 		index.alive++
 	}
 	slices.SortFunc(index.domains, func(a, b *domainRoute) int { return cmp.Compare(a.id, b.id) })
+	index.domainLost = previous.lost(now, index)
 	for _, domain := range index.domains {
 		domain.changed = now
 		if old := previous.domain(domain.id); old != nil && sameHosts(old.alive, domain.alive) {
@@ -68,6 +72,20 @@
 	return index
 }
 
+// lost returns when a domain last lost all its hosts, the change from this view
+// to the next included.
+func (v *viewIndex) lost(now time.Time, next *viewIndex) time.Time {
+	if v == nil {
+		return time.Time{}
+	}
+	for _, domain := range v.domains {
+		if next.domain(domain.id) == nil {
+			return now
+		}
+	}
+	return v.domainLost
+}
+
 // newHostRoute prepares one member.
 func newHostRoute(m state.Member, snap *state.Snapshot) *hostRoute {
 	self := m.ID == snap.Self.ID
