Give traffic the health of the targets

Cause: control published every target as healthy and took no note of drain signals or of what the forward path saw.

--- a/internal/coordination/control/carry.go
+++ b/internal/coordination/control/carry.go
@@ -68,7 +68,7 @@
 // that have just been withdrawn.
 func (p *publisher) replace(now time.Time, service state.Service, version state.ReleaseVersion) {
 	previous := p.entries[service.ID]
-	next := lookup.Carry(previous, service, version)
+	next := p.judge.dress(lookup.Carry(previous, service, version))
 	p.entries[service.ID] = next
 	if previous == nil || next == previous {
 		return
@@ -133,6 +133,7 @@
 	for _, target := range entry.Entries {
 		if expired(target) {
 			delete(p.withdrawn, target.Number)
+			p.judge.forget(target.Number)
 			continue
 		}
 		next.Entries = append(next.Entries, target)
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -62,7 +62,7 @@
 	case LeaveRequested:
 		c.requestLeave(now)
 	case TrafficReported:
-		c.publisher.report(now, ev)
+		c.publisher.judge.report(now, ev)
 	case RecordsPassedOn:
 		c.leave.passedOn(now)
 	}
@@ -156,7 +156,7 @@
 		c.listRevision = revision
 		c.members.HostList(now, hosts)
 	}
-	c.publisher.setLoads(now, c.listing)
+	c.publisher.judge.setLoads(now, c.listing)
 }
 
 func (c *Control) publish(now time.Time) {
--- /dev/null
+++ b/internal/coordination/control/judge_test.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/listing"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/stretchr/testify/require"
+)
+
+// judged returns a publisher that runs one service with three targets.
+func judged(now time.Time) (*publisher, publishInput) {
+	p := newPublisher(state.Host{ID: "a1", Domain: "a"})
+	service := state.Service{ID: "feed", Number: 1, Targets: []state.Target{
+		{ID: "t1", Number: 2, Domain: "a", Weight: 1},
+		{ID: "t2", Number: 3, Domain: "a", Weight: 1},
+		{ID: "t3", Number: 4, Domain: "b", Weight: 1},
+	}}
+	input := publishInput{release: &state.Release{Version: 1, Services: []state.Service{service}}, ready: true}
+	p.next(now, input)
+	return &p, input
+}
+
+func loadsOf(revision uint64, loads ...objects.TargetLoad) *listing.Machine {
+	machine := listing.New(state.Host{ID: "a1"}, nil)
+	machine.Receive(state.Host{ID: "a2"}, listing.LoadsNews{List: objects.LoadList{Loads: loads}, Revision: revision})
+	return machine
+}
+
+func TestADrainSignalReachesTrafficAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, input := judged(now)
+	p.judge.setLoads(now, loadsOf(1, objects.TargetLoad{Target: "t1", Healthy: true, Draining: true, At: now}))
+	snapshot := p.next(now, input)
+	require.NotNil(t, snapshot)
+	require.True(t, snapshot.Targets[2].Leaving)
+	require.False(t, snapshot.Targets[3].Leaving)
+	require.Equal(t, uint32(1), snapshot.Services[state.ServiceAddress{}].Domains[0].Usable)
+}
+
+func TestADrainSignalOutlivesARelease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, input := judged(now)
+	p.judge.setLoads(now, loadsOf(1, objects.TargetLoad{Target: "t1", Healthy: true, Draining: true, At: now}))
+	p.next(now, input)
+	service := input.release.Services[0]
+	service.Targets = service.Targets[:2]
+	input.release = &state.Release{Version: 2, Services: []state.Service{service}}
+	snapshot := p.next(now, input)
+	require.True(t, snapshot.Targets[2].Leaving)
+	require.True(t, snapshot.Targets[4].Withdrawn)
+}
+
+func TestATargetThatCompletesNothingIsEjected(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, input := judged(now)
+	var last *state.Snapshot
+	for range 10 {
+		now = now.Add(time.Second)
+		p.judge.report(now, TrafficReported{Targets: []TargetReport{
+			{Number: 2, Openings: 50, Completed: 0, Retransmits: 50},
+			{Number: 3, Openings: 50, Completed: 50},
+			{Number: 4, Openings: 50, Completed: 50},
+		}})
+		if snapshot := p.next(now, input); snapshot != nil {
+			last = snapshot
+		}
+	}
+	require.NotNil(t, last)
+	require.True(t, last.Targets[2].Ejected || last.Targets[2].ShareMilli < 500)
+	require.False(t, last.Targets[3].Ejected)
+}
+
+func TestNothingNewPublishesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, input := judged(now)
+	require.Nil(t, p.next(now.Add(time.Hour/2), input))
+}
--- a/internal/coordination/control/publish.go
+++ b/internal/coordination/control/publish.go
@@ -5,11 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/guavawharf/guavawharf/internal/coordination/listing"
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
-// publishInput is what a snapshot is made of besides health.
+// publishInput is what a snapshot is made of besides the targets' health.
 type publishInput struct {
 	release *state.Release
 	view    state.View
@@ -25,6 +24,7 @@
 	last    *state.Snapshot
 	dirty   bool
 	history history
+	judge   judge
 	// withdrawn holds when each withdrawn target was withdrawn.
 	withdrawn map[state.TargetNumber]time.Time
 	swept     time.Time
@@ -34,6 +34,7 @@
 	return publisher{
 		self:      self,
 		entries:   make(map[state.ServiceID]*state.ServiceEntry),
+		judge:     newJudge(),
 		withdrawn: make(map[state.TargetNumber]time.Time),
 	}
 }
@@ -41,6 +42,9 @@
 // next returns a new snapshot, or nil when nothing has changed.
 func (p *publisher) next(now time.Time, input publishInput) *state.Snapshot {
 	p.sweep(now)
+	if p.judge.apply(now, p.entries) {
+		p.dirty = true
+	}
 	if !p.changed(input) {
 		return nil
 	}
@@ -96,9 +100,3 @@
 		snapshot.Services[address] = p.entries[service.ID]
 	}
 }
-
-// report takes in what traffic saw of the targets.
-func (p *publisher) report(now time.Time, reported TrafficReported) {}
-
-// setLoads takes in the platform's view of targets.
-func (p *publisher) setLoads(now time.Time, lists *listing.Machine) {}
