Let a host that catches up with a release serve its open flows

Cause: a host that was not ready dropped every packet, those of open flows too. Ruled out: marking it ready, which would admit flows under an old release. Change: such a host places no new flow; without any release it still drops all.

--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -51,7 +51,7 @@
 // Handle decides about one packet from the fabric or from another host.
 func (e *Engine) Handle(now time.Time, snap *state.Snapshot, p *Packet) Decision {
 	e.begin(now, snap)
-	if !snap.Ready {
+	if !snap.Ready && snap.Version == 0 {
 		return drop(ReasonNotReady)
 	}
 	address := state.ServiceAddress{Protocol: p.Key.Protocol, Address: p.Key.Service}
@@ -131,6 +131,9 @@
 
 // byHash forwards by the newest lookup table alone.
 func (e *Engine) byHash(entry *state.ServiceEntry, p *Packet) Decision {
+	if !e.snap.Ready && opens(p.Kind) {
+		return drop(ReasonNotReady)
+	}
 	number := entry.Tables[0].Lookup(p.Fingerprint.Low)
 	if number == 0 {
 		return drop(ReasonNoTarget)
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -50,8 +50,11 @@
 const maxRedirects = 3
 
 // open places a new flow. The verdict is tentative until the second owner has
-// seen it.
+// seen it. A host that has yet to catch up with the release places none.
 func (e *Engine) open(f *flow) Decision {
+	if !e.snap.Ready {
+		return drop(ReasonNotReady)
+	}
 	v := e.judge(f)
 	if v.verdict == relay.VerdictNone {
 		return drop(v.reason)
--- /dev/null
+++ b/internal/coordination/traffic/ready_test.go
@@ -0,0 +1,25 @@
+package traffic
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+func TestAHostThatCatchesUpKeepsOpenFlowsAndOpensNone(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	snap.Version = 1
+	e, now := settledEngine(Settings{}, snap)
+	open := ownedPacket(e, 0, KindOpening)
+	require.Equal(t, VerbRelay, e.Handle(now, snap, &open).Verb)
+	behind := *snap
+	behind.Ready = false
+	data := open
+	data.Kind = KindData
+	require.Equal(t, relay.VerdictForward, e.Handle(now, &behind, &data).Header.Verdict)
+	fresh := ownedPacket(e, 5000, KindOpening)
+	require.Equal(t, drop(ReasonNotReady), e.Handle(now, &behind, &fresh))
+}
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -5,7 +5,8 @@
 	// ReasonNone is a packet forwarded or relayed in the ordinary way.
 	ReasonNone Reason = iota
 
-	// ReasonNotReady drops: no release is in force on this host.
+	// ReasonNotReady drops: no release is in force on this host, or an opening
+	// reached it before it has caught up with the current one.
 	ReasonNotReady
 	// ReasonNoService drops: no service has the packet's destination.
 	ReasonNoService
