--- a/internal/coordination/health/tracker_test.go
+++ b/internal/coordination/health/tracker_test.go
@@ -233,6 +233,25 @@
 	require.Empty(t, ejected(stale.verdicts()), "too old")
 }
 
+func TestPanicThreshold(t *testing.T) {
+	for sick, want := range map[int]int{4: 4, 7: 4, 8: 0, 14: 0} {
+		w := newWorld(14)
+		var loads []objects.TargetLoad
+		for n := 1; n <= sick; n++ {
+			loads = append(loads, objects.TargetLoad{Target: id(n), Healthy: false, Load: 1})
+		}
+		w.loads(loads...)
+		verdicts := w.verdicts()
+		require.Len(t, ejected(verdicts), want, "%d of 14 report themselves sick", sick)
+		if want > 0 {
+			continue
+		}
+		for _, v := range verdicts {
+			require.EqualValues(t, FullShare, v.ShareMilli)
+		}
+	}
+}
+
 func TestDrainingTargetsLeave(t *testing.T) {
 	w := newWorld(4)
 	w.loads(objects.TargetLoad{Target: id(1), Healthy: true, Draining: true})
