Let a fresh host not speak for its domain

A host that has just started knows only itself: as a watcher it could answer for its domain although its peers had not staged the note. It now waits until it knows them. A driver accepts only what it has staged itself, so a note that leaves every domain out is not accepted unseen, and a deadline set by a wrong clock holds up no later note. Versions of hosts that are gone are forgotten.

--- a/internal/coordination/release/drive.go
+++ b/internal/coordination/release/drive.go
@@ -105,6 +105,10 @@
 	if note == nil || note.Content.Base != m.Version() {
 		return
 	}
+	if m.staging.checked && m.staging.release == nil {
+		m.refuse(now, fmt.Sprintf("host %s: %s", m.settings.Self.ID, m.staging.reason))
+		return
+	}
 	var missing []string
 	for _, id := range m.required(note) {
 		staged, ok := m.drive.answers[id]
@@ -116,11 +120,14 @@
 			missing = append(missing, string(id))
 		}
 	}
+	if !m.staging.checked {
+		return
+	}
 	if len(missing) == 0 || (m.settings.Variant == VariantAnyDomain && len(m.drive.answers) > 0) {
 		m.updateHead(now, m.head.Accept(now))
 		return
 	}
-	if now.After(pending.Deadline) {
+	if now.After(pending.Deadline) || now.Sub(m.drive.since) > note.Content.Deadline+DeadlineMargin {
 		m.refuse(now, m.lateReason(missing))
 	}
 }
--- a/internal/coordination/release/machine.go
+++ b/internal/coordination/release/machine.go
@@ -53,6 +53,7 @@
 	fetch    fetch
 	status   status
 	spread   spread
+	started  time.Time
 	ticked   time.Time
 	// pausedUntil ends the wait for news after a pause of this process.
 	pausedUntil time.Time
@@ -78,7 +79,10 @@
 }
 
 // SetView tells the machine which hosts membership believes in.
-func (m *Machine) SetView(view state.View) { m.members.setView(view) }
+func (m *Machine) SetView(view state.View) {
+	m.members.setView(view)
+	m.status.forget(view)
+}
 
 // SetVersion tells the machine what membership heard to be in force on another
 // host; it may lag.
@@ -115,6 +119,9 @@
 // Tick lets time pass.
 func (m *Machine) Tick(now time.Time) {
 	m.noticePause(now)
+	if m.started.IsZero() {
+		m.started = now
+	}
 	m.watch(now)
 	m.advance(now)
 	m.stage(now)
--- /dev/null
+++ b/internal/coordination/release/machine_test.go
@@ -0,0 +1,75 @@
+package release
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/stretchr/testify/require"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+func self() state.Host { return state.Host{ID: "host-a1", Domain: "zone-a"} }
+
+func firstNote() objects.Note {
+	return objects.Note{ID: "first", Content: state.Note{
+		ID: "first", AddDomains: []state.DomainID{"zone-a"},
+		SetCustomers: []state.Customer{{ID: "studio", Weight: 1}},
+		AddServices: []state.ServiceSpec{{
+			ID: "feed", Customer: "studio", Protocol: state.TCP, Address: netip.MustParseAddrPort("198.51.100.1:443"),
+		}},
+		AddTargets: []state.TargetSpec{{
+			ID: "feed-1", Service: "feed", Domain: "zone-a", Address: netip.MustParseAddrPort("192.0.2.1:6080"),
+			Weight: 1, Slots: 1, Connections: 1,
+		}},
+	}}
+}
+
+// pendingNews is news of a head on which the first note is pending.
+func pendingNews() News {
+	ref := objects.NoteRef{ID: "first", Version: 1}
+	pending := &objects.Pending{Note: ref, Deadline: begin.Add(time.Minute)}
+	return News{Head: HeadDigest{ObjectVersion: 1, Pending: pending}, HoldsPending: true, PlatformAge: 0}
+}
+
+func puts(calls []objects.Call, key string) int {
+	count := 0
+	for _, call := range calls {
+		if call.Verb == objects.VerbPut && call.Key == key {
+			count++
+		}
+	}
+	return count
+}
+
+func TestFreshHostDoesNotSpeakForItsDomain(t *testing.T) {
+	m := New(Settings{Self: self()}, rand.New(rand.NewPCG(1, 1)))
+	peer := state.Host{ID: "host-b1", Domain: "zone-b"}
+	note := firstNote()
+	m.Tick(begin)
+	m.Receive(begin, peer, pendingNews())
+	m.Receive(begin, peer, Content{Note: &note})
+	m.Tick(begin.Add(SettleTime / 2))
+	require.Zero(t, puts(m.Take().Calls, "release/staged/first/zone-a"))
+	m.Tick(begin.Add(SettleTime))
+	require.Equal(t, 1, puts(m.Take().Calls, "release/staged/first/zone-a"))
+}
+
+func TestOldNewsChangesNothing(t *testing.T) {
+	m := New(Settings{Self: self()}, rand.New(rand.NewPCG(1, 1)))
+	peer := state.Host{ID: "host-b1", Domain: "zone-b"}
+	note := firstNote()
+	m.Receive(begin, peer, pendingNews())
+	m.Receive(begin, peer, Content{Note: &note})
+	m.Tick(begin)
+	m.Receive(begin, peer, News{Head: HeadDigest{ObjectVersion: 2, Version: 1, Accepted: "first"}})
+	require.Equal(t, state.ReleaseVersion(1), m.Version())
+	m.Receive(begin, peer, pendingNews())
+	m.Receive(begin, peer, Content{Release: &state.Release{Version: 0}})
+	require.Equal(t, state.ReleaseVersion(1), m.Version())
+	require.Nil(t, m.Known().Pending)
+}
--- a/internal/coordination/release/staging.go
+++ b/internal/coordination/release/staging.go
@@ -109,8 +109,8 @@
 	if pending == nil || m.staging.written || !m.staging.checked {
 		return
 	}
-	place := position(m.members.watchers(m.settings.Self.Domain, ""), m.settings.Self.ID)
-	if place < 0 || now.Sub(m.staging.since) < time.Duration(place)*TakeoverInterval {
+	place, ok := m.speaksForDomain(now)
+	if !ok || now.Sub(m.staging.since) < time.Duration(place)*TakeoverInterval {
 		return
 	}
 	staged, complete := m.domainAnswer(pending.Note)
--- a/internal/coordination/release/status.go
+++ b/internal/coordination/release/status.go
@@ -45,6 +45,24 @@
 	s.versions[host] = version
 }
 
+// forget drops the hosts that are no longer members.
+func (s *status) forget(view state.View) {
+	present := make(map[state.HostID]bool, len(view.Members))
+	for _, member := range view.Members {
+		present[member.ID] = true
+	}
+	maps.DeleteFunc(s.versions, func(id state.HostID, _ state.ReleaseVersion) bool { return !present[id] })
+}
+
+// speaksForDomain tells that this host has run long enough to know its peers
+// and may add up what they say, as the watcher in the given place or before.
+func (m *Machine) speaksForDomain(now time.Time) (place int, ok bool) {
+	watchers := m.members.watchers(m.settings.Self.Domain, "")
+	place = position(watchers, m.settings.Self.ID)
+	settled := !m.started.IsZero() && now.Sub(m.started) >= SettleTime
+	return place, place >= 0 && settled
+}
+
 func (w *write) value() json.RawMessage {
 	if w.staged != nil {
 		return encode(w.staged)
@@ -170,8 +188,8 @@
 func (m *Machine) reportStatus(now time.Time) {
 	m.retryRelays(now)
 	m.flush(now)
-	watchers := m.members.watchers(m.settings.Self.Domain, "")
-	if m.current == nil || position(watchers, m.settings.Self.ID) != 0 {
+	place, ok := m.speaksForDomain(now)
+	if m.current == nil || !ok || place > 0 {
 		return
 	}
 	next := m.domainStatus(now)
--- a/internal/coordination/release/timing.go
+++ b/internal/coordination/release/timing.go
@@ -18,6 +18,11 @@
 	AnswerInterval = time.Second
 	// TakeoverInterval is how long each next driver or aggregator holds back.
 	TakeoverInterval = time.Second
+	// SettleTime is how long a host runs before it speaks for its domain.
+	SettleTime = 3 * time.Second
+	// DeadlineMargin is how far a note's deadline may lie beyond the time that
+	// the note allows, before the clock that set it is held to be wrong.
+	DeadlineMargin = 5 * time.Second
 	// CutOffAfter is how long a host hears nothing of the platform, directly or
 	// through peers, before it counts as cut off.
 	CutOffAfter = 15 * time.Second
