--- /dev/null
+++ b/internal/protocol/settings/docs_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const docsPath = "../../../docs/configuration.md"
+
+// renderTable returns the table of the documentation.
+func renderTable() string {
+	var table strings.Builder
+	table.WriteString("| key | form | default | allowed | meaning |\n")
+	table.WriteString("|---|---|---|---|---|\n")
+	for _, key := range Describe() {
+		byDefault := "required"
+		if key.Default != "" {
+			byDefault = "`" + key.Default + "`"
+		}
+		fmt.Fprintf(&table, "| `%s` | %s | %s | %s | %s |\n", key.Name, key.Unit, byDefault, key.Range, key.Meaning)
+	}
+	return table.String()
+}
+
+func TestDocumentationHoldsEveryKey(t *testing.T) {
+	page, err := os.ReadFile(docsPath)
+	require.NoError(t, err)
+	require.Contains(t, string(page), renderTable())
+}
+
+func TestDocumentationsExampleIsValid(t *testing.T) {
+	page, err := os.ReadFile(docsPath)
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(page), "```toml\n")
+	require.True(t, found)
+	example, _, found := strings.Cut(rest, "```")
+	require.True(t, found)
+	_, issues := Parse([]byte(example))
+	require.Empty(t, issues)
+}
+
+// TestDescribedDefaultsApply parses a file with the required keys alone.
+func TestDescribedDefaultsApply(t *testing.T) {
+	settings, issues := Parse([]byte(required))
+	require.Empty(t, issues)
+	got := map[string]string{
+		"platform.timeout":  settings.Platform.Timeout.String(),
+		"traffic.workers":   fmt.Sprint(settings.Traffic.Workers),
+		"traffic.max_flows": fmt.Sprint(settings.Traffic.MaxFlows),
+		"leave.deadline":    settings.LeaveDeadline.String(),
+		"log.level":         strings.ToLower(settings.LogLevel.String()),
+	}
+	want := make(map[string]string)
+	for _, key := range Describe() {
+		if key.Default != "" {
+			want[key.Name] = key.Default
+		}
+	}
+	require.Equal(t, want, got)
+}
+
+// TestEveryRequiredKeyIsMissed parses an empty file.
+func TestEveryRequiredKeyIsMissed(t *testing.T) {
+	_, issues := Parse(nil)
+	var got, want []string
+	for _, issue := range issues {
+		got = append(got, issue.Key)
+	}
+	for _, key := range Describe() {
+		if key.Default == "" && !strings.Contains(key.Name, "[]") {
+			want = append(want, key.Name)
+		}
+	}
+	require.ElementsMatch(t, want, got)
+}
+
+const required = `
+[host]
+id = "a1"
+domain = "a"
+packets = "127.0.0.1:6080"
+relay = "127.0.0.1:6081"
+control = "127.0.0.1:6082"
+metrics = "127.0.0.1:6083"
+[fabric]
+return = "127.0.0.1:7000"
+[platform]
+url = "http://127.0.0.1:8080"
+`
