--- a/internal/protocol/tomldoc/lines.go
+++ b/internal/protocol/tomldoc/lines.go
@@ -30,11 +30,48 @@
 			index[table] = line
 		case unstable.KeyValue:
 			index[join(table, path)] = line
+			index.addValue(&parser, join(table, path), node.Value())
 		}
 	}
 	return index
 }
 
+// addValue finds the lines of the keys inside an inline table or an array.
+func (l lineIndex) addValue(parser *unstable.Parser, path string, value *unstable.Node) {
+	children := value.Children()
+	switch value.Kind {
+	case unstable.InlineTable:
+		for children.Next() {
+			l.addMember(parser, path, children.Node())
+		}
+	case unstable.Array:
+		for i := 0; children.Next(); i++ {
+			l.addElement(parser, path, i, children.Node())
+		}
+	}
+}
+
+// addElement finds the lines of one element of an array. An element without
+// keys gets the line of the array.
+func (l lineIndex) addElement(parser *unstable.Parser, array string, index int, value *unstable.Node) {
+	path := element(array, index)
+	l.addValue(parser, path, value)
+	if _, known := l[path]; !known {
+		l[path] = l[array]
+	}
+}
+
+// addMember finds the lines of one key of an inline table. The table itself
+// gets the line of its first key.
+func (l lineIndex) addMember(parser *unstable.Parser, table string, member *unstable.Node) {
+	key, line := keyPath(parser, member)
+	if _, known := l[table]; !known {
+		l[table] = line
+	}
+	l[join(table, key)] = line
+	l.addValue(parser, join(table, key), member.Value())
+}
+
 // keyPath returns the dotted key of an expression and its line.
 func keyPath(parser *unstable.Parser, node *unstable.Node) (string, int) {
 	parts := []string{}
--- a/internal/protocol/tomldoc/tomldoc_test.go
+++ b/internal/protocol/tomldoc/tomldoc_test.go
@@ -59,3 +59,16 @@
 	require.Equal(t, "x", root.OneOf("mode", "x", "x", "y"))
 	require.Len(t, root.Finish(), 5)
 }
+
+func TestKeysOfInlineTablesHaveTheirLine(t *testing.T) {
+	root, issues := Parse([]byte("peer = [\n  {id = \"a\"},\n  {id = 7, port = 1},\n  {},\n]\n"))
+	require.Empty(t, issues)
+	for _, peer := range root.List("peer") {
+		peer.Name("id")
+	}
+	got := root.Finish()
+	require.Len(t, got, 3)
+	require.Equal(t, Issue{Line: 1, Key: "peer[2].id", Message: got[0].Message}, got[0])
+	require.Equal(t, Issue{Line: 3, Key: "peer[1].id", Message: got[1].Message}, got[1])
+	require.Equal(t, Issue{Line: 3, Key: "peer[1].port", Message: got[2].Message}, got[2])
+}
