--- a/internal/coordination/membership/domains.go
+++ b/internal/coordination/membership/domains.go
@@ -1,71 +1,17 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
-// contactRank orders the hosts of a domain; the lowest are its contacts.
-func contactRank(id state.HostID) uint64 { return xxh3.HashString(string(id)) }
-
-// gatewayRank orders the hosts of a domain towards another domain.
-func gatewayRank(id state.HostID, to state.DomainID) uint64 {
-	return xxh3.HashString(string(id) + "\x00" + string(to))
-}
-
-// byContactRank sorts members by rank.
-func byContactRank(a, b *member) int {
-	return cmp.Compare(contactRank(a.host.ID), contactRank(b.host.ID))
-}
-
-// isGateway tells whether this host is one of its domain's hosts that probe the
-// given domain.
-func (m *Machine) isGateway(to state.DomainID) bool {
-	own := gatewayRank(m.self.ID, to)
-	lower := 0
-	m.table.each(func(k *member) {
-		if k.host.Domain != m.self.Domain || k.status != state.HostAlive || k.leaving {
-			return
-		}
-		if gatewayRank(k.host.ID, to) < own {
-			lower++
-		}
-	})
-	return lower < Gateways
-}
-
-// contacts returns the known hosts of another domain that are not dead.
-func (m *Machine) contacts(of state.DomainID) []*member {
-	return m.table.filter(func(k *member) bool { return k.host.Domain == of && !k.dead() })
-}
-
-// foreignDomains returns the other domains that have a known or listed host,
-// sorted.
-func (m *Machine) foreignDomains() []state.DomainID {
-	var domains []state.DomainID
-	add := func(d state.DomainID) {
-		i, found := slices.BinarySearch(domains, d)
-		if !found && d != m.self.Domain {
-			domains = slices.Insert(domains, i, d)
-		}
-	}
-	m.table.each(func(k *member) { add(k.host.Domain) })
-	for _, h := range m.listed {
-		add(h.Domain)
-	}
-	return domains
-}
-
 // prune keeps only the contacts of another domain.
 func (m *Machine) prune(of state.DomainID) {
 	if of == m.self.Domain {
 		return
 	}
-	known := m.contacts(of)
+	known := slices.Clone(m.contacts(of))
 	if len(known) <= MaxContacts {
 		return
 	}
@@ -74,15 +20,12 @@
 		m.table.remove(k.host.ID)
 		m.updates.remove(k.host.ID)
 	}
+	m.changed()
 }
 
 // contactEntries adds some of this domain's contacts in turn.
 func (m *Machine) contactEntries(entries []Entry, to state.HostID) []Entry {
-	own := m.table.filter(func(k *member) bool {
-		return k.host.Domain == m.self.Domain && k.status != state.HostSuspect
-	})
-	slices.SortFunc(own, byContactRank)
-	own = own[:min(len(own), MaxContacts)]
+	own := m.indexed().ranked
 	for range min(MaxUpdates, len(own)) {
 		m.contactTurn = (m.contactTurn + 1) % len(own)
 		entries = m.appendEntry(entries, own[m.contactTurn].host.ID, to)
--- a/internal/coordination/membership/join.go
+++ b/internal/coordination/membership/join.go
@@ -29,6 +29,7 @@
 		return
 	}
 	m.listed = slices.Insert(m.listed, i, h)
+	m.index.valid = false
 }
 
 // reconnect probes hosts that are listed or died lately and do not take part.
@@ -58,8 +59,8 @@
 // a gateway to.
 func (m *Machine) candidates() (near, far []state.Host) {
 	gateway := make(map[state.DomainID]bool)
-	for _, d := range m.foreignDomains() {
-		gateway[d] = m.isGateway(d) && len(m.contacts(d)) < MaxContacts
+	for _, d := range m.indexed().foreign {
+		gateway[d.id] = d.gateway && len(d.live) < MaxContacts
 	}
 	add := func(h state.Host) {
 		switch {
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -30,6 +30,7 @@
 	out         []message.Outgoing
 
 	table   table
+	index   index
 	listed  []state.Host
 	updates updates
 	probes  probing
@@ -129,6 +130,7 @@
 func (m *Machine) HostList(now time.Time, list objects.HostList) {
 	m.advance(now)
 	m.listed = nil
+	m.index.valid = false
 	for _, h := range list.Hosts {
 		if !h.Leaving {
 			m.addListed(h.Host)
@@ -161,8 +163,8 @@
 		}
 	}
 	add(m.contacts(m.self.Domain), JoinFanout)
-	for _, d := range m.foreignDomains() {
-		add(m.contacts(d), 1)
+	for _, d := range m.indexed().foreign {
+		add(d.live, 1)
 	}
 	return hosts
 }
@@ -235,7 +237,11 @@
 	}
 }
 
-func (m *Machine) changed() { m.stale = true }
+// changed marks what is derived from the table as stale.
+func (m *Machine) changed() {
+	m.stale = true
+	m.index.valid = false
+}
 
 func (m *Machine) send(to state.Host, msg message.Message) {
 	m.out = append(m.out, message.Outgoing{To: to, Message: msg})
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"slices"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -59,18 +58,21 @@
 }
 
 func (m *Machine) nextInDomain() *member {
-	return m.nextOf(&m.probes.round, func() []*member { return m.contacts(m.self.Domain) })
+	return m.nextOf(&m.probes.round, m.contacts(m.self.Domain))
 }
 
 // nextForeign takes the domains that this host is a gateway to in turn.
 func (m *Machine) nextForeign() *member {
-	domains := slices.DeleteFunc(m.foreignDomains(), func(d state.DomainID) bool { return !m.isGateway(d) })
-	for range domains {
+	foreign := m.indexed().foreign
+	for range foreign {
 		m.probes.domainTurn++
-		d := domains[m.probes.domainTurn%len(domains)]
-		round := m.probes.domainRounds[d]
-		target := m.nextOf(&round, func() []*member { return m.contacts(d) })
-		m.probes.domainRounds[d] = round
+		d := &foreign[m.probes.domainTurn%len(foreign)]
+		if !d.gateway {
+			continue
+		}
+		round := m.probes.domainRounds[d.id]
+		target := m.nextOf(&round, d.live)
+		m.probes.domainRounds[d.id] = round
 		if target != nil {
 			return target
 		}
@@ -80,7 +82,7 @@
 
 // nextOf takes the next live host of a round and shuffles a new round when the
 // old one is used up.
-func (m *Machine) nextOf(round *[]state.HostID, all func() []*member) *member {
+func (m *Machine) nextOf(round *[]state.HostID, all []*member) *member {
 	for range 2 {
 		for len(*round) > 0 {
 			id := (*round)[0]
@@ -89,7 +91,7 @@
 				return known
 			}
 		}
-		*round = m.shuffled(all())
+		*round = m.shuffled(all)
 	}
 	return nil
 }
--- a/internal/coordination/membership/suspicion.go
+++ b/internal/coordination/membership/suspicion.go
@@ -57,6 +57,7 @@
 	for _, k := range expired {
 		m.table.remove(k.host.ID)
 		m.updates.remove(k.host.ID)
+		m.changed()
 	}
 }
 
