--- a/internal/coordination/control/world_test.go
+++ b/internal/coordination/control/world_test.go
@@ -43,6 +43,7 @@
 	host     state.Host
 	core     *Control
 	run      uint64
+	name     string
 	alive    bool
 	paused   bool
 	stopped  bool
@@ -108,6 +109,7 @@
 		}
 	}
 	n.run++
+	n.name = fmt.Sprintf("%s run %d", n.host.ID, n.run)
 	n.booted = w.now
 	delete(w.promises.reached, n.host.ID)
 	n.alive, n.paused, n.stopped, n.queue, n.snapshot = true, false, false, nil, nil
