--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -9,9 +9,12 @@
 
 // judge decides about a new flow.
 func (e *Engine) judge(f *flow) judgement {
-	if e.records.count >= e.limit(openingShareMilli) {
+	if e.flows() >= e.limit(openingShareMilli) {
 		return e.refuseNew(f, ReasonTableFull)
 	}
+	if reason := e.admit(f.routes.entry.Customer); reason != ReasonNone {
+		return e.refuseNew(f, reason)
+	}
 	target, reason := e.place(f)
 	if target == nil {
 		return e.refuseNew(f, reason)
@@ -37,10 +40,8 @@
 		return e.placeByHash(f)
 	}
 	home := f.routes.placeDomain(f.packet.Fingerprint)
-	if home != nil {
-		if target := e.placeIn(f, home.id); target != nil {
-			return target, ReasonNone
-		}
+	if target := e.placeIn(f, home); target != nil {
+		return target, ReasonNone
 	}
 	if target := e.placeIn(f, anyDomain); target != nil {
 		return target, ReasonNone
@@ -188,7 +189,7 @@
 		if t == nil {
 			continue
 		}
-		if home == nil || t.Domain == home.id {
+		if inDomain(t, home) {
 			return t
 		}
 		if any == nil {
