Measure the packet path beside a plain receive-and-send loop

The benchmark sends batches of 64 packets of 552 bytes over 4,096 open flows through both by turns and times receiving, deciding and sending alone.

--- /dev/null
+++ b/internal/transport/workers/bench_test.go
@@ -0,0 +1,242 @@
+package workers
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/lookup"
+	"github.com/guavawharf/guavawharf/internal/transport/udp"
+)
+
+const (
+	benchShards  = 4
+	benchFlows   = 4096
+	benchPayload = 512
+)
+
+// benchSnapshot has one host, so that every flow is its own, and 14 targets at
+// one address.
+func benchSnapshot(target netip.AddrPort) *state.Snapshot {
+	service := state.Service{
+		ID: "s", Number: 1, Customer: "c", Protocol: state.TCP,
+		Address: netip.MustParseAddrPort("198.51.100.1:443"), IdleTimeout: time.Hour,
+	}
+	for i := range 14 {
+		service.Targets = append(service.Targets, state.Target{
+			ID: state.TargetID(rune('a' + i)), Number: state.TargetNumber(i + 2),
+			Address: target, Weight: 1, Slots: 3, Connections: benchFlows,
+		})
+	}
+	entry := lookup.Carry(nil, service, 1)
+	self := state.Host{ID: "a1", Domain: "a"}
+	snapshot := &state.Snapshot{
+		Self: self, Ready: true, Version: 1,
+		Customers: []state.Customer{{ID: "c", Weight: 1}},
+		Services:  map[state.ServiceAddress]*state.ServiceEntry{{Protocol: state.TCP, Address: service.Address}: entry},
+		Targets:   make(map[state.TargetNumber]*state.TargetEntry),
+		View:      state.View{Members: []state.Member{{Host: self}}},
+	}
+	for _, target := range entry.Entries {
+		snapshot.Targets[target.Number] = target
+	}
+	return snapshot
+}
+
+// benchPacket returns a packet of the n-th flow.
+func benchPacket(b *testing.B, n int, tcp layers.TCP) []byte {
+	network := &layers.IPv4{
+		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+		SrcIP: net.IP{192, 0, 2, byte(n >> 8)}, DstIP: net.IP{198, 51, 100, 1},
+	}
+	tcp.SrcPort, tcp.DstPort = layers.TCPPort(1024+n), 443
+	require.NoError(b, tcp.SetNetworkLayerForChecksum(network))
+	var payload []byte
+	if !tcp.SYN {
+		payload = make([]byte, benchPayload)
+	}
+	buffer := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	require.NoError(b, gopacket.SerializeLayers(buffer, options, network, &tcp, gopacket.Payload(payload)))
+	return buffer.Bytes()
+}
+
+// path is one way from a fabric socket to the sink.
+type path struct {
+	fabric *udp.Socket
+	// serve takes up to a batch from the socket, sends it on and returns how
+	// many packets that were.
+	serve func() int
+	spent time.Duration
+}
+
+// forwardBench holds the sockets on both sides of the paths.
+type forwardBench struct {
+	source *udp.Writer
+	sink   *udp.Socket
+	drain  *udp.Reader[slot]
+	data   [][]byte
+}
+
+// run sends one batch through the path and measures the path alone.
+func (f *forwardBench) run(p *path, batch [][]byte) {
+	for _, data := range batch {
+		f.source.Add(data, p.fabric.Address())
+	}
+	f.source.Flush()
+	for served := 0; served < len(batch); {
+		start := time.Now()
+		served += p.serve()
+		p.spent += time.Since(start)
+	}
+	for received := 0; received < len(batch); {
+		_ = f.drain.Read(func(udp.Datagram[slot]) bool {
+			received++
+			return false
+		})
+	}
+}
+
+func benchListen(b *testing.B) *udp.Socket {
+	socket, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+func newForwardBench(b *testing.B) *forwardBench {
+	f := &forwardBench{source: udp.NewWriter(benchListen(b)), sink: benchListen(b)}
+	f.drain = udp.NewReader(f.sink, func() slot { return make(slot, MaxPacketSize) })
+	for n := range benchFlows {
+		f.data = append(f.data, benchPacket(b, n, layers.TCP{ACK: true, Seq: 2, Ack: 1}))
+	}
+	return f
+}
+
+// plainPath receives and sends batches and does nothing else.
+func (f *forwardBench) plainPath(b *testing.B) *path {
+	fabric := benchListen(b)
+	writer := udp.NewWriter(fabric)
+	reader := udp.NewReader(fabric, func() slot { return make(slot, MaxPacketSize) })
+	to := f.sink.Address()
+	serve := func() int {
+		count := 0
+		_ = reader.Read(func(d udp.Datagram[slot]) bool {
+			writer.Add(d.Slot[:d.Size], to)
+			count++
+			return false
+		})
+		writer.Flush()
+		return count
+	}
+	return &path{fabric: fabric, serve: serve}
+}
+
+// guavadPath is the packet path of guavad, with its hand-over to workers if
+// pooled, and with every flow already open.
+func (f *forwardBench) guavadPath(b *testing.B, pooled bool) *path {
+	fabric := benchListen(b)
+	engines := make([]Engine, benchShards)
+	for i := range engines {
+		rng := rand.New(rand.NewPCG(1, uint64(i)))
+		engines[i] = traffic.NewEngine(traffic.Settings{MaxRecords: 2 * benchFlows}, rng)
+	}
+	clock := time.Now()
+	pool, err := New(Settings{
+		Fabric: fabric, Relay: benchListen(b), Return: f.sink.Address(), Engines: engines,
+		Now: func() time.Time { return clock },
+	})
+	require.NoError(b, err)
+	pool.Publish(benchSnapshot(f.sink.Address()))
+	var running chan struct{}
+	pool.launch = func(work func()) error {
+		work()
+		return nil
+	}
+	if pooled {
+		running = make(chan struct{}, benchShards)
+		pool.launch = func(work func()) error {
+			return pool.workers.Submit(func() {
+				work()
+				running <- struct{}{}
+			})
+		}
+	}
+	p := &path{fabric: fabric}
+	p.serve = func() int {
+		before := pool.fabric.sorter.counts.events[EventReceived].Load()
+		_ = pool.fabric.reader.Read(pool.fabric.handle)
+		pool.fabric.sorter.flush()
+		if pooled {
+			waitIdle(pool, running)
+		}
+		return int(pool.fabric.sorter.counts.events[EventReceived].Load() - before)
+	}
+	f.open(b, p, pool, &clock)
+	return p
+}
+
+// waitIdle waits until no worker is active.
+func waitIdle(p *Pool, running <-chan struct{}) {
+	for _, s := range p.shards {
+		for s.queue.busy() {
+			<-running
+		}
+	}
+}
+
+// busy tells whether a worker is active.
+func (q *queue) busy() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.active
+}
+
+// open opens every flow, once the engines are settled.
+func (f *forwardBench) open(b *testing.B, p *path, pool *Pool, clock *time.Time) {
+	for _, s := range pool.shards {
+		s.queue.wake()
+		s.run()
+	}
+	*clock = clock.Add(time.Minute)
+	for n := 0; n < benchFlows; n += BatchSize {
+		var batch [][]byte
+		for i := range BatchSize {
+			batch = append(batch, benchPacket(b, n+i, layers.TCP{SYN: true, Seq: 1}))
+		}
+		f.run(p, batch)
+	}
+	require.Equal(b, benchFlows, pool.Flows())
+	p.spent = 0
+}
+
+// BenchmarkForward measures guavad's path beside a plain loop, batch by batch,
+// and reports the ratio of the time that each spends on a packet.
+func BenchmarkForward(b *testing.B) {
+	for name, pooled := range map[string]bool{"inline": false, "pooled": true} {
+		b.Run(name, func(b *testing.B) {
+			f := newForwardBench(b)
+			plain, guavad := f.plainPath(b), f.guavadPath(b, pooled)
+			packets := 0
+			for b.Loop() {
+				at := packets % benchFlows
+				batch := f.data[at : at+BatchSize]
+				f.run(plain, batch)
+				f.run(guavad, batch)
+				packets += BatchSize
+			}
+			perPacket := func(p *path) float64 { return float64(p.spent.Nanoseconds()) / float64(packets) }
+			b.ReportMetric(perPacket(plain), "plain-ns/packet")
+			b.ReportMetric(perPacket(guavad), "guavad-ns/packet")
+			b.ReportMetric(perPacket(guavad)/perPacket(plain), "ratio")
+		})
+	}
+}
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -71,6 +71,8 @@
 	fabric   *fabricReader
 	relay    *relayReader
 	workers  *ants.Pool
+	// launch runs a shard's work on a worker.
+	launch   func(work func()) error
 	jobs     sync.Pool
 	passOnce sync.Once
 	// passing counts the shards that still pass records on.
@@ -96,7 +98,7 @@
 	if err != nil {
 		return nil, oops.Code("worker_pool").Wrap(err)
 	}
-	p := &Pool{settings: settings, workers: workers, stop: make(chan struct{})}
+	p := &Pool{settings: settings, workers: workers, launch: workers.Submit, stop: make(chan struct{})}
 	p.jobs.New = func() any { return new(Job) }
 	p.routes.Store(NewRoutes(&state.Snapshot{}))
 	for _, engine := range settings.Engines {
@@ -194,9 +196,9 @@
 	}
 }
 
-// start lets a worker run the shard. Submit fails only once the pool is closed.
+// start lets a worker run the shard. It fails only once the pool is closed.
 func (p *Pool) start(s *shard) {
-	_ = p.workers.Submit(s.work)
+	_ = p.launch(s.work)
 }
 
 func (p *Pool) shardOf(fingerprint state.Fingerprint) int {
