Queue packets per customer before the workers

Cause: one queue for all let a customer's burst fill it and drop the packets of the others. Change: deficit round robin by customer weight; when the queue is full, the newest packet of the longest lane gives way.

--- a/internal/transport/workers/job.go
+++ b/internal/transport/workers/job.go
@@ -21,13 +21,15 @@
 	// Packet.Relay, from the host From.
 	Record bool
 	From   state.HostID
-	// Customer is the index of the packet's customer in the snapshot.
-	Customer int
 
+	lane lane
 	data [relay.HeaderSize + MaxPacketSize]byte
 	size int
 }
 
+// cost is what the job takes from its lane's share, in bytes.
+func (j *Job) cost() int { return relay.HeaderSize + j.size }
+
 // packet returns the IP packet.
 func (j *Job) packet() []byte {
 	return j.data[relay.HeaderSize : relay.HeaderSize+j.size]
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -184,18 +184,6 @@
 	}
 }
 
-// submit hands jobs to a shard; the ones that don't fit are dropped.
-func (p *Pool) submit(s *shard, jobs []*Job, c *counts) {
-	rejected, start := s.queue.put(jobs)
-	for _, job := range jobs[len(jobs)-rejected:] {
-		c.event(EventQueueFull)
-		p.recycle(job)
-	}
-	if start {
-		p.start(s)
-	}
-}
-
 // start lets a worker run the shard. It fails only once the pool is closed.
 func (p *Pool) start(s *shard) {
 	_ = p.launch(s.work)
--- a/internal/transport/workers/queue.go
+++ b/internal/transport/workers/queue.go
@@ -1,34 +1,38 @@
 package workers
 
-import "sync"
+import (
+	"sync"
 
-// queue is the bounded queue of one shard. It also knows whether a worker is
-// active for the shard, so that there is never more than one.
+	"github.com/guavawharf/guavawharf/internal/coordination/fairqueue"
+)
+
+// queue is the bounded queue of one shard, fair among customers. It also knows
+// whether a worker is active for the shard, so that there is never more than
+// one.
 type queue struct {
 	mu     sync.Mutex
-	jobs   []*Job
-	head   int
-	count  int
+	jobs   *fairqueue.Queue[*Job]
 	active bool
 	// sweep is set when a sweep is due.
 	sweep bool
 }
 
 func newQueue(length int) *queue {
-	return &queue{jobs: make([]*Job, length)}
+	return &queue{jobs: fairqueue.New[*Job](length)}
 }
 
-// put adds jobs and returns how many did not fit, and whether a worker has to
-// be started.
-func (q *queue) put(jobs []*Job) (rejected int, start bool) {
+// put adds jobs. It returns the jobs that had to give way, appended to dropped,
+// and whether a worker has to be started.
+func (q *queue) put(jobs, dropped []*Job) (_ []*Job, start bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	accepted := min(len(jobs), len(q.jobs)-q.count)
-	for _, job := range jobs[:accepted] {
-		q.jobs[(q.head+q.count)%len(q.jobs)] = job
-		q.count++
+	for _, job := range jobs {
+		lost, full := q.jobs.Push(job.lane.customer, job.lane.weight, job.cost(), job)
+		if full {
+			dropped = append(dropped, lost)
+		}
 	}
-	return len(jobs) - accepted, q.activate(q.count > 0)
+	return dropped, q.activate(q.jobs.Len() > 0)
 }
 
 // wake makes a sweep due and returns whether a worker has to be started.
@@ -53,11 +57,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	jobs = dst[:0]
-	for q.count > 0 && len(jobs) < cap(jobs) {
-		jobs = append(jobs, q.jobs[q.head])
-		q.jobs[q.head] = nil
-		q.head = (q.head + 1) % len(q.jobs)
-		q.count--
+	for len(jobs) < cap(jobs) {
+		job, ok := q.jobs.Pop()
+		if !ok {
+			break
+		}
+		jobs = append(jobs, job)
 	}
 	sweep = q.sweep
 	q.sweep = false
--- a/internal/transport/workers/queue_test.go
+++ b/internal/transport/workers/queue_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -18,9 +19,9 @@
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
 				jobs := newJobs(rapid.IntRange(1, 4).Draw(t, "jobs"))
-				rejected, start := q.put(jobs)
+				dropped, start := q.put(jobs, nil)
 				fit := min(len(jobs), length-len(model))
-				require.Equal(t, len(jobs)-fit, rejected)
+				require.ElementsMatch(t, jobs[fit:], dropped)
 				model = append(model, jobs[:fit]...)
 				require.Equal(t, !active && len(model) > 0, start)
 				active = active || start
@@ -42,10 +43,33 @@
 	})
 }
 
+// TestBurstOfOneCustomerDropsNothingOfAnother fills the queue for one customer.
+func TestBurstOfOneCustomerDropsNothingOfAnother(t *testing.T) {
+	const length = 100
+	q := newQueue(length)
+	burst, other := newJobs(10*length), newJobs(10)
+	for _, job := range burst {
+		job.lane = lane{customer: "large", weight: 1}
+	}
+	for _, job := range other {
+		job.lane = lane{customer: "small", weight: 1}
+	}
+	dropped, _ := q.put(burst, nil)
+	require.Len(t, dropped, len(burst)-length)
+	dropped, _ = q.put(other, nil)
+	require.Len(t, dropped, len(other))
+	require.NotSubset(t, dropped, other[:1])
+	jobs, _ := q.take(make([]*Job, 0, length))
+	require.Subset(t, jobs, other)
+}
+
+// jobCount numbers the jobs, so that none equals another.
+var jobCount atomic.Int64
+
 func newJobs(count int) []*Job {
 	jobs := make([]*Job, count)
 	for i := range jobs {
-		jobs[i] = new(Job)
+		jobs[i] = &Job{size: int(jobCount.Add(1))}
 	}
 	return jobs
 }
--- a/internal/transport/workers/reader.go
+++ b/internal/transport/workers/reader.go
@@ -17,6 +17,7 @@
 	counts  *counts
 	decoder *packet.Decoder
 	pending [][]*Job
+	dropped []*Job
 }
 
 func newSorter(p *Pool) *sorter {
@@ -29,17 +30,31 @@
 }
 
 func (s *sorter) add(job *Job) {
+	job.lane = s.pool.routes.Load().lane(job)
 	shard := s.pool.shardOf(job.Packet.Fingerprint)
 	s.pending[shard] = append(s.pending[shard], job)
 }
 
+// submit hands jobs to a shard; the ones that don't fit are dropped.
+func (s *sorter) submit(to *shard, jobs []*Job) {
+	dropped, start := to.queue.put(jobs, s.dropped[:0])
+	s.dropped = dropped
+	for _, job := range dropped {
+		s.counts.event(EventQueueFull)
+		s.pool.recycle(job)
+	}
+	if start {
+		s.pool.start(to)
+	}
+}
+
 // flush hands the collected jobs to their shards.
 func (s *sorter) flush() {
 	for i, jobs := range s.pending {
 		if len(jobs) == 0 {
 			continue
 		}
-		s.pool.submit(s.pool.shards[i], jobs, s.counts)
+		s.submit(s.pool.shards[i], jobs)
 		s.pending[i] = jobs[:0]
 	}
 }
