--- /dev/null
+++ b/internal/standin/slopes/hosts.go
@@ -0,0 +1,73 @@
+package slopes
+
+import (
+	"errors"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+const (
+	// settleLimit bounds the virtual time until a fleet has one view.
+	settleLimit = 3 * time.Minute
+	// watchTime is the virtual time that a quiet fleet is measured for.
+	watchTime = 20 * time.Second
+	// domainsHosts is the number of hosts a domain while domains vary.
+	domainsHosts = 8
+)
+
+var errNotSettled = errors.New("the hosts did not come to one view")
+
+// measureDomainHosts watches a quiet domain of x hosts.
+func measureDomainHosts(r *run, x int) ([]Metric, error) { return measureQuiet(r, 1, x) }
+
+// measureDomains watches x quiet domains.
+func measureDomains(r *run, x int) ([]Metric, error) { return measureQuiet(r, x, domainsHosts) }
+
+func measureQuiet(r *run, domains, hosts int) ([]Metric, error) {
+	before := heapBytes()
+	f, err := newFleet(domains, hosts, r.seed)
+	if err != nil {
+		return nil, err
+	}
+	if !f.until(settleLimit, func() bool { return f.settled(hosts) }) {
+		return nil, fmt.Errorf("%w: %d domains of %d hosts", errNotSettled, domains, hosts)
+	}
+	settling := f.now.Sub(virtualStart)
+	f.counts = fleetCounts{}
+	f.run(watchTime)
+	memory := heapBytes() - before
+	runtime.KeepAlive(f)
+	perHost := float64(len(f.hosts)) * watchTime.Seconds()
+	return []Metric{
+		{"messages_a_host", "1/s", float64(f.counts.messages) / perHost},
+		{"bytes_a_host", "bytes/s", float64(f.counts.bytes) / perHost},
+		{"core_share_a_host", "cores", (f.counts.stepping + f.counts.coding).Seconds() / perHost},
+		{"stepping_share_a_host", "cores", f.counts.stepping.Seconds() / perHost},
+		{"memory_a_host", "bytes", memory / float64(len(f.hosts))},
+		{"platform_calls_all", "1/s", float64(f.counts.calls) / watchTime.Seconds()},
+		{"time_to_one_view", "s", settling.Seconds()},
+	}, nil
+}
+
+// settled tells whether every host knows all hosts of its own domain.
+func (f *fleet) settled(hosts int) bool {
+	for _, h := range f.hosts {
+		if h.snapshot == nil || known(h.snapshot.View, h.host.Domain) != hosts {
+			return false
+		}
+	}
+	return true
+}
+
+func known(view state.View, domain state.DomainID) int {
+	count := 0
+	for _, m := range view.Members {
+		if m.Domain == domain {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/standin/slopes/releases.go
@@ -0,0 +1,152 @@
+package slopes
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+const (
+	releaseHosts = 4
+	fleetDomains = 4
+	// releaseMinutes is the virtual time of one point.
+	releaseMinutes = 2
+	// releaseLimit bounds the virtual time until one note is in force.
+	releaseLimit     = time.Minute
+	noteDeadline     = 30 * time.Second
+	maxReleaseMicros = int64(time.Hour / time.Microsecond)
+	// releaseTargets and releaseServices are the size of the release changed.
+	releaseTargets  = 140
+	releaseServices = 20
+)
+
+// measureReleases applies x releases a minute to a fleet.
+func measureReleases(r *run, x int) ([]Metric, error) {
+	f, err := readyFleet(r, fleetDomains, releaseHosts)
+	if err != nil {
+		return nil, err
+	}
+	times := hdrhistogram.New(1, maxReleaseMicros, significantDigits)
+	f.counts = fleetCounts{}
+	began := f.now
+	for i := range x * releaseMinutes {
+		due := began.Add(time.Duration(i) * time.Minute / time.Duration(x))
+		if wait := due.Sub(f.now); wait > 0 {
+			f.run(wait)
+		}
+		took, err := f.apply(oneMore(i))
+		if err != nil {
+			return nil, err
+		}
+		// The value is within the histogram's range, so that no error can come.
+		_ = times.RecordValue(took.Microseconds())
+	}
+	if rest := releaseMinutes*time.Minute - f.now.Sub(began); rest > 0 {
+		f.run(rest)
+	}
+	elapsed := f.now.Sub(began).Seconds()
+	perHost := float64(len(f.hosts)) * elapsed
+	return []Metric{
+		{"in_force_p50", "s", float64(times.ValueAtQuantile(50)) / 1e6},
+		{"in_force_max", "s", float64(times.Max()) / 1e6},
+		{"platform_calls_all", "1/s", float64(f.counts.calls) / elapsed},
+		{"platform_writes_all", "1/s", float64(f.counts.writes) / elapsed},
+		{"bytes_a_host", "bytes/s", float64(f.counts.bytes) / perHost},
+		{"core_share_a_host", "cores", (f.counts.stepping + f.counts.coding).Seconds() / perHost},
+	}, nil
+}
+
+// readyFleet returns a fleet with a first release in force.
+func readyFleet(r *run, domains, hosts int) (*fleet, error) {
+	f, err := newFleet(domains, hosts, r.seed)
+	if err != nil {
+		return nil, err
+	}
+	if !f.until(settleLimit, func() bool { return f.settled(hosts) }) {
+		return nil, errNotSettled
+	}
+	first := &state.Note{ID: "first", Deadline: noteDeadline}
+	first.SetCustomers = []state.Customer{{ID: "customer", Weight: 1}}
+	for d := range domains {
+		first.AddDomains = append(first.AddDomains, domainID(d))
+	}
+	addServices(first, 0, releaseServices, releaseTargets, domains)
+	_, err = f.apply(first)
+	return f, err
+}
+
+// addServices adds services with their targets to a note.
+func addServices(note *state.Note, firstService, services, targets, domains int) {
+	next := 0
+	for s := range services {
+		service := wideService(firstService + s)
+		note.AddServices = append(note.AddServices, state.ServiceSpec{
+			ID:          service.ID,
+			Customer:    service.Customer,
+			Protocol:    service.Protocol,
+			Address:     service.Address,
+			IdleTimeout: service.IdleTimeout,
+		})
+		for ; next < targets*(s+1)/services; next++ {
+			target := testTarget(firstService*targets/services+next, next%domains)
+			note.AddTargets = append(note.AddTargets, specOf(target, service.ID))
+		}
+	}
+}
+
+func specOf(t state.Target, service state.ServiceID) state.TargetSpec {
+	return state.TargetSpec{
+		ID:          t.ID,
+		Service:     service,
+		Domain:      t.Domain,
+		Address:     t.Address,
+		Weight:      t.Weight,
+		Slots:       t.Slots,
+		Connections: t.Connections,
+	}
+}
+
+// oneMore is the n-th change: a target more for the first service.
+func oneMore(n int) *state.Note {
+	target := testTarget(1<<20+n, 0)
+	return &state.Note{
+		ID:         state.NoteID(fmt.Sprintf("change-%d", n)),
+		Deadline:   noteDeadline,
+		AddTargets: []state.TargetSpec{specOf(target, wideService(0).ID)},
+	}
+}
+
+// apply submits a note on the newest release and returns the time until every
+// host has it in force.
+func (f *fleet) apply(note *state.Note) (time.Duration, error) {
+	head, _, err := f.store.head()
+	if err != nil {
+		return 0, err
+	}
+	note.Base = head.Version
+	pending, err := f.store.submit(f.now, *note)
+	if err != nil {
+		return 0, err
+	}
+	if !pending {
+		return 0, fmt.Errorf("note %s was not taken", note.ID)
+	}
+	f.queued = f.store.notify(f.queued)
+	began := f.now
+	if !f.until(releaseLimit, func() bool { return f.inForce(note.Base + 1) }) {
+		return 0, fmt.Errorf("note %s is not in force everywhere after %s", note.ID, releaseLimit)
+	}
+	return f.now.Sub(began), nil
+}
+
+func (f *fleet) inForce(version state.ReleaseVersion) bool {
+	for _, h := range f.hosts {
+		if h.snapshot == nil || h.snapshot.Version < version {
+			return false
+		}
+	}
+	return true
+}
