--- a/internal/coordination/control/matrix_test.go
+++ b/internal/coordination/control/matrix_test.go
@@ -30,6 +30,8 @@
 	w      *world
 	driver *node
 	victim *node
+	// chosen is the host to strike, nil to go by the role.
+	chosen *node
 	begun  bool
 	healed time.Time
 }
@@ -104,6 +106,9 @@
 // pick returns the host that plays the role: the driver itself, or one of
 // another domain that watches or does not watch the platform.
 func (c *cell) pick() *node {
+	if c.chosen != nil {
+		return c.chosen
+	}
 	if c.driver == nil {
 		c.driver = c.w.nodes[0]
 	}
@@ -193,8 +198,15 @@
 	return false
 }
 
-// mayBeUnready tells whether a host that was ready may stop admitting flows.
-func (c *cell) mayBeUnready(n *node) bool { return c.begun && c.excused(n) }
+// mayBeUnready tells whether a host that was ready may stop admitting flows:
+// only one that was away, after its return.
+func (c *cell) mayBeUnready(n *node) bool {
+	away := false
+	for _, f := range c.faults {
+		away = away || (f.away && f.excuses(c, n))
+	}
+	return c.begun && away && !c.w.now.Before(c.healed)
+}
 
 func matrixCells(seeds int, first uint64) []*cell {
 	var cells []*cell
--- a/internal/coordination/control/world_test.go
+++ b/internal/coordination/control/world_test.go
@@ -65,8 +65,13 @@
 	store    *store
 	promises promises
 	// onCall and onAnswer see each platform call before it runs and after.
-	onCall   func(n *node, call objects.Call)
-	onAnswer func(n *node, call objects.Call, outcome objects.Outcome)
+	onCall func(n *node, call objects.Call)
+	// keepRecords lets no host pass its flow records on.
+	keepRecords bool
+	onStep      func(n *node)
+	onPassed    func(n *node)
+	onAction    func(n *node, action Action)
+	onAnswer    func(n *node, call objects.Call, outcome objects.Outcome)
 }
 
 func newWorld(seed uint64, variant release.Variant, sizes ...int) *world {
@@ -167,6 +172,9 @@
 
 func (w *world) step(n *node, event Event) {
 	for _, action := range n.core.Step(w.now, event) {
+		if w.onAction != nil {
+			w.onAction(n, action)
+		}
 		switch act := action.(type) {
 		case Send:
 			w.link.send(w, n, act)
@@ -176,13 +184,24 @@
 			n.snapshot = act.Snapshot
 			w.promises.published(n)
 		case PassRecordsOn:
+			if w.keepRecords {
+				continue
+			}
 			run := n.run
-			w.after(300*time.Millisecond, func() { w.deliver(n, run, RecordsPassedOn{}) })
+			w.after(300*time.Millisecond, func() {
+				w.deliver(n, run, RecordsPassedOn{})
+				if w.onPassed != nil {
+					w.onPassed(n)
+				}
+			})
 		case Stop:
 			n.alive, n.stopped = false, true
 		}
 	}
 	w.promises.stepped(n)
+	if w.onStep != nil {
+		w.onStep(n)
+	}
 }
 
 func (w *world) kill(n *node) { n.alive = false }
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -58,6 +58,7 @@
 		return g
 	}
 	g.Entries = m.contactEntries(g.Entries, to.ID)
+	g.Entries = m.introduction(g.Entries, to)
 	g.Digest = m.ownDigest()
 	return g
 }
@@ -81,10 +82,10 @@
 
 // refreshed repeats entries in turn, so that a lost update is made good.
 func (m *Machine) refreshed(entries []Entry, to state.HostID) []Entry {
-	count := min(MaxRefreshed, len(m.table.order))
+	count := min(MaxRefreshed, len(m.table.sorted))
 	for range count {
-		m.refresh = (m.refresh + 1) % len(m.table.order)
-		entries = m.appendEntry(entries, m.table.order[m.refresh], to)
+		m.refresh = (m.refresh + 1) % len(m.table.sorted)
+		entries = m.appendEntry(entries, m.table.sorted[m.refresh].host.ID, to)
 	}
 	return entries
 }
--- a/internal/coordination/traffic/experiment/host.go
+++ b/internal/coordination/traffic/experiment/host.go
@@ -27,6 +27,7 @@
 	entries map[state.ServiceNumber]*state.ServiceEntry
 	members map[state.HostID]state.Member
 	epoch   uint32
+	version state.ReleaseVersion
 	// up is false once the process has ended; sprayed is true while the fabric
 	// sends packets here.
 	up      bool
@@ -85,6 +86,10 @@
 
 // Install puts a release in force on this host.
 func (h *Host) Install(release state.Release) {
+	if release.Version < h.version {
+		return
+	}
+	h.version = release.Version
 	for _, service := range release.Services {
 		h.entries[service.Number] = lookup.Carry(h.entries[service.Number], service, release.Version)
 	}
@@ -95,7 +100,7 @@
 func (h *Host) publish() {
 	snap := &state.Snapshot{
 		Self:     h.Host,
-		Version:  h.bed.release.Version,
+		Version:  h.version,
 		Services: make(map[state.ServiceAddress]*state.ServiceEntry),
 		Targets:  make(map[state.TargetNumber]*state.TargetEntry),
 		View:     state.View{Epoch: h.epoch, Members: h.Members()},
@@ -149,8 +154,8 @@
 	h.bed.After(sweepInterval, func() { h.passOn(linger) })
 }
 
-// receive takes a packet from the fabric or another host.
-func (h *Host) receive(s segment, header relay.Header, relayed bool) {
+// receive takes a packet from another host, or from the fabric if from is empty.
+func (h *Host) receive(s segment, header relay.Header, from state.HostID) {
 	if !h.up {
 		return
 	}
@@ -161,7 +166,8 @@
 		Size:        s.size,
 		Payload:     s.payload,
 		Progress:    s.progress,
-		Relayed:     relayed,
+		Relayed:     from != "",
+		From:        from,
 		Relay:       header,
 	}
 	d := h.engine.Handle(h.bed.time(), h.snap, &p)
@@ -183,7 +189,7 @@
 		if to.Domain != h.Domain {
 			b.Counts.BetweenHops++
 		}
-		b.between(h.Domain, to.Domain, func() { to.receive(s, d.Header, true) })
+		b.between(h.Domain, to.Domain, func() { to.receive(s, d.Header, h.ID) })
 	case traffic.VerbRefuse:
 		b.toCaller(s.flow.refused)
 	case traffic.VerbReset:
--- a/internal/coordination/traffic/second.go
+++ b/internal/coordination/traffic/second.go
@@ -12,7 +12,7 @@
 		return drop(ReasonForeignHeader)
 	}
 	r := e.records.find(f.packet.Fingerprint)
-	if r != nil && (r.service != f.routes.entry.Number || opens(f.packet.Kind) && r.replaceable()) {
+	if r != nil && (r.service != f.routes.entry.Number || opens(f.packet.Kind) && e.replaceable(r)) {
 		e.remove(r)
 		r = nil
 	}
@@ -21,28 +21,52 @@
 	}
 	if incoming.overrides(r) {
 		e.adopt(r, incoming)
+		d := e.executeRecord(f, r)
+		if partner := f.owners.partner(); partner != nil && f.packet.Relay.Position == positionReturned {
+			d.notify(partner, recordHeader(relay.KindConfirm, r))
+		}
+		return d
+	}
+	if incoming.agrees(r) {
 		return e.executeRecord(f, r)
 	}
+	return e.disagree(f, r)
+}
+
+// disagree carries the record's verdict out against that of the sender. An
+// owner of before a change hands the packet back with its verdict, so that the
+// present owners know it before the target answers.
+func (e *Engine) disagree(f *flow, r *record) Decision {
+	sender := e.view.host(f.packet.From)
+	if sender == nil {
+		sender = f.owners.partner()
+	}
+	if f.packet.Relay.Position == positionFormer && sender != nil {
+		r.clear(flagTentative)
+		h := recordHeader(relay.KindOpening, r)
+		h.Position = positionReturned
+		return e.relayHeader(f, sender, h, ReasonToSecond)
+	}
 	d := e.executeRecord(f, r)
-	if partner := f.chain.partner(); partner != nil && !incoming.agrees(r) {
-		d.notify(partner, recordHeader(relay.KindConfirm, r))
+	if sender != nil {
+		d.notify(sender, recordHeader(relay.KindConfirm, r))
 	}
 	return d
 }
 
 // adoptUnknown takes the verdict for a flow that this host has no record of.
 func (e *Engine) adoptUnknown(f *flow, v judgement) Decision {
-	if v.verdict == relay.VerdictRefuse && !e.settled(f.chain.home) {
+	if v.verdict == relay.VerdictRefuse && !e.settled(f.owners.home) {
 		return drop(ReasonUnsettled)
 	}
-	if v.has(headerFresh) && e.isLeaving(v.target) {
+	if v.has(headerFresh) && e.isLeaving(v.target) && f.routes.entry.Way == state.WayOwner {
 		return e.overrule(f)
 	}
 	r := e.keep(f, v)
 	former := e.formerOwner(f)
-	if former != nil && v.has(headerFresh) && f.packet.Relay.Position < formerPosition {
+	if former != nil && v.has(headerFresh) && f.packet.Relay.Position < positionFormer {
 		h := v.header(relay.KindOpening)
-		h.Position = formerPosition
+		h.Position = positionFormer
 		return e.relayHeader(f, former, h, ReasonToPrevious)
 	}
 	if r == nil {
@@ -61,8 +85,13 @@
 	return target != nil && (target.Leaving || target.Withdrawn)
 }
 
-// formerPosition marks a verdict sent to the owner before a change of owners.
-const formerPosition = maxCandidates
+// Values of relay.Header.Position with KindOpening.
+const (
+	// positionFormer marks a verdict sent to the owner before a change.
+	positionFormer = 2
+	// positionReturned marks the verdict of an owner before a change.
+	positionReturned = 3
+)
 
 // overrule places a new flow itself because the first owner, by an older
 // snapshot, chose a target that is leaving.
@@ -75,7 +104,7 @@
 	d := e.execute(f, v)
 	if r != nil {
 		r.clear(flagTentative)
-		if partner := f.chain.partner(); partner != nil {
+		if partner := f.owners.partner(); partner != nil {
 			d.notify(partner, recordHeader(relay.KindConfirm, r))
 		}
 	}
@@ -99,7 +128,7 @@
 
 // returnToOwner hands a packet back to the owner that knows the target.
 func (e *Engine) returnToOwner(f *flow, r *record) Decision {
-	partner := f.chain.partner()
+	partner := f.owners.partner()
 	if partner == nil {
 		return drop(ReasonUnknownTarget)
 	}
--- a/internal/coordination/traffic/view.go
+++ b/internal/coordination/traffic/view.go
@@ -24,6 +24,8 @@
 type domainRoute struct {
 	id   state.DomainID
 	seed uint64
+	// hosts are all, in the order of the view.
+	hosts []*hostRoute
 	// alive hosts may own new flows; leaving ones answer for their records.
 	alive   []*hostRoute
 	leaving []*hostRoute
@@ -48,6 +50,7 @@
 		}
 		domain := index.addDomain(m.Domain)
 		host := newHostRoute(m, snap)
+		domain.hosts = append(domain.hosts, host)
 		if host.leaving {
 			domain.leaving = append(domain.leaving, host)
 			continue
@@ -83,11 +86,14 @@
 	if domain := v.domain(id); domain != nil {
 		return domain
 	}
-	domain := &domainRoute{id: id, seed: xxh3.HashString(string(id))}
+	domain := &domainRoute{id: id, seed: domainSeed(id)}
 	v.domains = append(v.domains, domain)
 	return domain
 }
 
+// domainSeed is the hash by which a failure domain takes part in rendezvous.
+func domainSeed(id state.DomainID) uint64 { return xxh3.HashString(string(id)) }
+
 // domain returns a domain's entry, nil if there is none.
 func (v *viewIndex) domain(id state.DomainID) *domainRoute {
 	if v == nil {
@@ -104,12 +110,7 @@
 // host returns a host of the view, nil if there is none.
 func (v *viewIndex) host(id state.HostID) *hostRoute {
 	for _, domain := range v.domains {
-		for _, h := range domain.alive {
-			if h.id == id {
-				return h
-			}
-		}
-		for _, h := range domain.leaving {
+		for _, h := range domain.hosts {
 			if h.id == id {
 				return h
 			}
