--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -14,6 +14,10 @@
 	settings Settings
 	random   *rand.Rand
 	records  *table
+	// refusals is the number of records that remember a refusal.
+	refusals int
+	// customers knows what each customer uses.
+	customers *customers
 	// started is the time of the first call.
 	started time.Time
 	// now and tick are the time of the current call.
@@ -37,11 +41,12 @@
 func NewEngine(s Settings, rng *rand.Rand) *Engine {
 	settings := s.withDefaults()
 	return &Engine{
-		settings: settings,
-		random:   rng,
-		records:  newTable(settings.MaxRecords),
-		entries:  make(map[state.ServiceNumber]*state.ServiceEntry),
-		services: make(map[state.ServiceNumber]*serviceRoutes),
+		settings:  settings,
+		random:    rng,
+		records:   newTable(settings.MaxRecords),
+		customers: newCustomers(settings.NewFlowRate),
+		entries:   make(map[state.ServiceNumber]*state.ServiceEntry),
+		services:  make(map[state.ServiceNumber]*serviceRoutes),
 	}
 }
 
@@ -51,7 +56,7 @@
 // Handle decides about one packet from the fabric or from another host.
 func (e *Engine) Handle(now time.Time, snap *state.Snapshot, p *Packet) Decision {
 	e.begin(now, snap)
-	if !snap.Ready {
+	if !snap.Ready && snap.Version == 0 {
 		return drop(ReasonNotReady)
 	}
 	address := state.ServiceAddress{Protocol: p.Key.Protocol, Address: p.Key.Service}
@@ -131,6 +136,9 @@
 
 // byHash forwards by the newest lookup table alone.
 func (e *Engine) byHash(entry *state.ServiceEntry, p *Packet) Decision {
+	if !e.snap.Ready && opens(p.Kind) {
+		return drop(ReasonNotReady)
+	}
 	number := entry.Tables[0].Lookup(p.Fingerprint.Low)
 	if number == 0 {
 		return drop(ReasonNoTarget)
