Measure how control costs grow with hosts, domains and releases

Processor time of the thread replaces the clock, which on a busy machine measured other processes. The demo prints each entry host's processor time and memory. A stalled flow whose request was never acknowledged is now told apart from one whose answer is missing.

--- a/internal/standin/callers/report.go
+++ b/internal/standin/callers/report.go
@@ -21,6 +21,8 @@
 	CauseUnanswered Cause = "unanswered opening"
 	// CauseStalled is an answer that never became whole.
 	CauseStalled Cause = "stalled"
+	// CauseBlocked is a request that was not acknowledged for as long.
+	CauseBlocked Cause = "blocked"
 	// CauseCrossed is an answer to another request.
 	CauseCrossed Cause = "crossed"
 	// CauseMoved is a UDP flow that another target answered.
--- a/internal/standin/callers/tcpflow.go
+++ b/internal/standin/callers/tcpflow.go
@@ -70,7 +70,7 @@
 		f.answered()
 		f.conn.Close(now)
 	case f.script.stalled(now):
-		f.breakOff(CauseStalled)
+		f.breakOff(f.stallCause())
 	}
 	f.flush(now)
 	if !f.outcome {
@@ -78,6 +78,13 @@
 	}
 }
 
+func (f *tcpFlow) stallCause() Cause {
+	if f.conn.Unacknowledged() {
+		return CauseBlocked
+	}
+	return CauseStalled
+}
+
 func (f *tcpFlow) noteEnd() {
 	switch f.conn.State() {
 	case stream.Reset:
--- a/internal/standin/slopes/releases.go
+++ b/internal/standin/slopes/releases.go
@@ -48,12 +48,17 @@
 		f.run(rest)
 	}
 	elapsed := f.now.Sub(began).Seconds()
+	longest := time.Duration(0)
+	for _, h := range f.hosts {
+		longest = max(longest, h.longest)
+	}
 	perHost := float64(len(f.hosts)) * elapsed
 	return []Metric{
 		{"in_force_p50", "s", float64(times.ValueAtQuantile(50)) / 1e6},
 		{"in_force_max", "s", float64(times.Max()) / 1e6},
 		{"platform_calls_all", "1/s", float64(f.counts.calls) / elapsed},
 		{"platform_writes_all", "1/s", float64(f.counts.writes) / elapsed},
+		{"longest_step", "s", longest.Seconds()},
 		{"bytes_a_host", "bytes/s", float64(f.counts.bytes) / perHost},
 		{"core_share_a_host", "cores", (f.counts.stepping + f.counts.coding).Seconds() / perHost},
 	}, nil
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -1,7 +1,8 @@
 // Package slopes measures how the cost of an entry host grows with one quantity
 // at a time. It drives the cores in this process, in virtual time where time
 // matters, and reports points and fitted lines. Runs are bounded in count, time
-// and memory, and repeatable by their seed but for the clock's noise.
+// and memory, and repeatable by their seed but for the noise of
+// processor times.
 package slopes
 
 import (
@@ -136,6 +137,7 @@
 	return chosen, nil
 }
 
+// run measures the points of a series in turn.
 func (p plan) run(r *run, o Options) (Series, error) {
 	series := Series{Name: p.name, Quantity: p.quantity}
 	for _, x := range p.xs {
@@ -145,7 +147,9 @@
 			break
 		}
 		began := time.Now()
-		metrics, err := p.measure(r, x)
+		var metrics []Metric
+		var err error
+		locked(func() { metrics, err = p.measure(r, x) })
 		if err != nil {
 			return series, err
 		}
--- a/internal/standin/slopes/tables.go
+++ b/internal/standin/slopes/tables.go
@@ -84,20 +84,20 @@
 // target each.
 func measureTables(release *state.Release) ([]Metric, error) {
 	before := heapBytes()
-	began := time.Now()
+	began := threadTime()
 	current := entries{}.carry(release)
-	full := time.Since(began)
+	full := threadTime() - began
 	memory := heapBytes() - before
 	changes := newTimings()
 	for i := range incrementalChanges {
 		note := changeOfOne(release, i)
-		began := time.Now()
+		began := threadTime()
 		next, problems := state.Apply(release, note)
 		if len(problems) > 0 {
 			return nil, fmt.Errorf("change refused: %s", problems[0])
 		}
 		current = current.carry(next)
-		changes.record(time.Since(began))
+		changes.record(threadTime() - began)
 		release = next
 	}
 	grown := heapBytes() - before
--- a/internal/standin/stream/conn.go
+++ b/internal/standin/stream/conn.go
@@ -104,6 +104,9 @@
 // Deadline is when Tick has something to do; zero is never.
 func (c *Conn) Deadline() time.Time { return c.deadline }
 
+// Unacknowledged tells whether something sent awaits its acknowledgment.
+func (c *Conn) Unacknowledged() bool { return c.una != c.highest }
+
 // PeerClosed tells whether the peer has sent its FIN.
 func (c *Conn) PeerClosed() bool { return c.finReceived }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -361,9 +361,24 @@
 	stop_host "$killed" KILL
 fi
 
+# usage prints processor time and memory of each entry host.
+usage() {
+	local index id ticks rss
+	for index in "${!names[@]}"; do
+		id=${names[index]}
+		if [ ${#id} -ne 2 ] || [ ! -r "/proc/${pids[index]}/stat" ]; then
+			continue
+		fi
+		ticks=$(awk '{print $14 + $15}' "/proc/${pids[index]}/stat")
+		rss=$(awk '/^VmRSS/ {print $2}' "/proc/${pids[index]}/status")
+		echo "entry host   $id: $((ticks * 1000 / $(getconf CLK_TCK))) ms of processor time, $((rss / 1024)) MB"
+	done
+}
+
 status=0
 wait "$callers" || status=$?
 cat "$dir/summary.txt"
+usage
 ./bin/guavactl status --platform "$platform"
 for index in "${!pids[@]}"; do
 	case ${names[index]} in
