--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -6,11 +6,12 @@
 //	0      version, 0x01 (never 4 or 6 in the high nibble, so never an IP packet)
 //	1      kind
 //	2      hops so far
-//	3      position in the owner chain of the receiver
+//	3      position of the receiver: in the search for a record, or the part
+//	       that an owner plays for a verdict
 //	4..7   target number of the verdict, 0 for none
 //	8..11  service number
 //	12     verdict
-//	13     refusal reason
+//	13     refusal reason, or the state of the flow with VerdictForward
 //	14..15 retry-after in units of 10 ms
 //	16..31 flow fingerprint
 //
