Bound what packets of no flow cost other hosts

Cause: each packet in mid-flow without a record searched up to 8 hosts and left guessed records at two, so a flood of them could fill the flow tables.

Change: an engine begins at most Settings.SearchRate searches a second and records guesses only below 70 % of its table; both are counted.

--- a/internal/coordination/traffic/bench_test.go
+++ b/internal/coordination/traffic/bench_test.go
@@ -112,10 +112,15 @@
 	benchmarkStateless(b, state.WayHash, VerbForward)
 }
 
+func BenchmarkDirectDecision(b *testing.B) {
+	benchmarkStateless(b, state.WayContested, VerbForward)
+}
+
 // benchmarkStateless measures packets from the fabric that need no record here.
 func benchmarkStateless(b *testing.B, way state.Way, want Verb) {
 	snap := benchSnapshot(way, 0)
 	e, _, now := filledEngine(snap)
+	now = now.Add(DefaultIdleTimeout)
 	routes := e.routes(e.service(1))
 	var packets []Packet
 	for n := 0; len(packets) < 1<<16; n++ {
--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -33,6 +33,10 @@
 	// reused holds the withdrawn targets whose address another service has now.
 	reused map[state.TargetNumber]bool
 
+	// searches counts the searches begun in the tick searchesAt.
+	searches   int
+	searchesAt tick
+
 	sweepAt  int
 	passOnAt int
 }
--- a/internal/coordination/traffic/engine_test.go
+++ b/internal/coordination/traffic/engine_test.go
@@ -338,3 +338,23 @@
 		})
 	}
 }
+
+func TestPacketsOfNoFlowAreBounded(t *testing.T) {
+	const limit = 100
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{MaxRecords: limit, SearchRate: 500}, snap)
+	searched := 0
+	for n := range limit {
+		p := ownedPacket(e, n*1000, KindData)
+		if e.Handle(now, snap, &p).Reason == ReasonSearch {
+			searched++
+		}
+	}
+	require.Equal(t, 50, searched)
+	for n := range limit {
+		p := ownedPacket(e, n*1000, KindData)
+		p.Relay.Hops = relay.MaxHops
+		require.Equal(t, ReasonFallback, e.Handle(now, snap, &p).Reason)
+	}
+	require.Equal(t, limit*crowdedShareMilli/1000, e.Len())
+}
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -22,6 +22,8 @@
 	// ReasonCutOff drops: a failure domain vanished lately, and with it perhaps
 	// the record of a flow.
 	ReasonCutOff
+	// ReasonSearchLimit drops: too many packets without a record.
+	ReasonSearchLimit
 	// ReasonUnknownTarget drops: the record's target is not known here.
 	ReasonUnknownTarget
 	// ReasonAddressReused drops: the target's address now serves another service.
@@ -72,6 +74,7 @@
 	ReasonNoHosts:         "no_hosts",
 	ReasonUnsettled:       "unsettled",
 	ReasonCutOff:          "cut_off",
+	ReasonSearchLimit:     "search_limit",
 	ReasonUnknownTarget:   "unknown_target",
 	ReasonAddressReused:   "address_reused",
 	ReasonRefusedFlow:     "refused_flow",
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -90,6 +90,9 @@
 	if e.settings.SingleOwner || hops >= relay.MaxHops {
 		return e.fallBack(f)
 	}
+	if position == 0 && !e.beginSearch() {
+		return drop(ReasonSearchLimit)
+	}
 	order := newSearchOrder(e.view, f.packet.Fingerprint)
 	for cell := position; cell < order.cells(); cell++ {
 		if h := order.host(cell); h != nil && !h.self {
@@ -99,6 +102,16 @@
 	return e.fallBack(f)
 }
 
+// beginSearch reports whether one more search may begin in this tick.
+func (e *Engine) beginSearch() bool {
+	if e.searchesAt != e.tick {
+		e.searchesAt = e.tick
+		e.searches = 0
+	}
+	e.searches++
+	return e.searches <= e.settings.SearchRate*int(tickLength/time.Millisecond)/1000
+}
+
 // fallBack forwards a packet in mid-flow to the target that the base table
 // gives, and records that it was a guess. It does so only when neither this
 // process nor the owners are new and no failure domain has vanished lately: the
@@ -118,6 +131,9 @@
 	v := forwardTo(target.Number)
 	v.flags = headerGuessed | headerOpen
 	d := e.forward(target.Service, target.Number, ReasonFallback)
+	if e.flows() >= e.limit(crowdedShareMilli) {
+		return d
+	}
 	if r := e.keep(f, v); r != nil {
 		e.repairPair(f, r, &d)
 	}
--- a/internal/coordination/traffic/settings.go
+++ b/internal/coordination/traffic/settings.go
@@ -32,6 +32,9 @@
 	// CutOff is how long after a failure domain lost all its hosts no packet
 	// falls back to the base table: the domain may be cut off, not dead.
 	CutOff time.Duration
+	// SearchRate bounds the searches for records that the engine begins a
+	// second. Packets of no flow must not occupy other hosts.
+	SearchRate int
 	// IdleTimeout applies to services that give none.
 	IdleTimeout time.Duration
 	// OpeningTimeout ends the record of a flow that sent openings alone.
@@ -58,6 +61,7 @@
 	DefaultSettle         = 500 * time.Millisecond
 	DefaultOverlap        = 3 * time.Second
 	DefaultCutOff         = time.Minute
+	DefaultSearchRate     = 10_000
 	DefaultIdleTimeout    = 5 * time.Minute
 	DefaultOpeningTimeout = 20 * time.Second
 	DefaultClosingTimeout = 30 * time.Second
@@ -72,6 +76,7 @@
 	setDefault(&s.Settle, DefaultSettle)
 	setDefault(&s.Overlap, DefaultOverlap)
 	setDefault(&s.CutOff, DefaultCutOff)
+	setDefault(&s.SearchRate, DefaultSearchRate)
 	setDefault(&s.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&s.OpeningTimeout, DefaultOpeningTimeout)
 	setDefault(&s.ClosingTimeout, DefaultClosingTimeout)
