Do not guess for a flow whose recorded target is unknown

Cause: found by reading: the last host of a search could hold the record itself, with a target that it does not know, and added a second record by a guess.

--- a/internal/coordination/traffic/engine_test.go
+++ b/internal/coordination/traffic/engine_test.go
@@ -358,3 +358,15 @@
 	}
 	require.Equal(t, limit*crowdedShareMilli/1000, e.Len())
 }
+
+func TestUnknownTargetIsNotGuessed(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{}, snap)
+	p := ownedPacket(e, 0, KindData)
+	h := relay.Header{Kind: relay.KindRecord, Service: 1, Target: 77, Verdict: relay.VerdictForward, Fingerprint: p.Fingerprint}
+	e.HandleRecord(now, snap, "b", h)
+	require.Equal(t, ReasonSearch, e.Handle(now, snap, &p).Reason)
+	p.Relay.Hops = relay.MaxHops
+	require.Equal(t, ReasonUnknownTarget, e.Handle(now, snap, &p).Reason)
+	require.Equal(t, 1, e.Len())
+}
--- a/internal/coordination/traffic/notices.go
+++ b/internal/coordination/traffic/notices.go
@@ -16,7 +16,7 @@
 }
 
 // repair copies the record to owners that lack it: after a change of the owner
-// pair, and when the packet came along the chain because they had no record.
+// pair, and when the packet was searched for because they had no record.
 func (e *Engine) repair(f *flow, r *record, d *Decision) {
 	searched := f.packet.Relayed && f.packet.Relay.Hops > 1
 	recently := e.tick-r.refreshed < ticks(repairInterval)
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -33,7 +33,7 @@
 // mayOpen reports whether a packet kind may start a flow.
 func mayOpen(kind PacketKind) bool { return kind == KindOpening || kind == KindDatagram }
 
-// withoutRecord opens a flow, or searches the chain for the flow's record.
+// withoutRecord opens a flow, or searches for the flow's record.
 func (e *Engine) withoutRecord(f *flow) Decision {
 	if !mayOpen(f.packet.Kind) {
 		return e.search(f)
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -48,7 +48,7 @@
 	ReasonToSecond
 	// ReasonToPrevious relays an opening to the owner before a recent change.
 	ReasonToPrevious
-	// ReasonSearch relays along the owner chain to find the flow's record.
+	// ReasonSearch relays to the next host that may have the flow's record.
 	ReasonSearch
 
 	// ReasonFallback forwards without a record to the base table's target.
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -79,7 +79,8 @@
 // search passes a packet without a record on to the next host that may have it.
 // The last one falls back to the base table.
 func (e *Engine) search(f *flow) Decision {
-	if e.belongsToBase(f) {
+	recorded := e.records.find(f.packet.Fingerprint) != nil
+	if !recorded && e.belongsToBase(f) {
 		return e.byBase(f)
 	}
 	hops, position := uint8(0), 0
@@ -115,8 +116,12 @@
 // fallBack forwards a packet in mid-flow to the target that the base table
 // gives, and records that it was a guess. It does so only when neither this
 // process nor the owners are new and no failure domain has vanished lately: the
-// record may be elsewhere, and a wrong guess ends the flow.
+// record may be elsewhere, and a wrong guess ends the flow. A flow whose record
+// is here, with a target that this host does not know, is not guessed at.
 func (e *Engine) fallBack(f *flow) Decision {
+	if e.records.find(f.packet.Fingerprint) != nil {
+		return drop(ReasonUnknownTarget)
+	}
 	if !e.settled(f.owners.home) || e.ownersChanged(f) {
 		return drop(ReasonUnsettled)
 	}
