Move an opening that its target does not answer

Cause: an opening stayed with its first target for good. Ruled out: ejecting sooner, which does not help the flows already placed, and moving flows in mid-flow, which would send payload to two targets. Change: a bare opening moves when its target is ejected, or at the second retransmission; the second owner follows unless it has seen the flow open. Retransmitted openings now count in the target's health.

--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -94,6 +94,8 @@
 	packet *Packet
 	routes *serviceRoutes
 	owners owners
+	// avoid is a target that must not have the flow; 0 for none.
+	avoid state.TargetNumber
 }
 
 // begin sets the time and takes up a new snapshot.
--- a/internal/coordination/traffic/judgement.go
+++ b/internal/coordination/traffic/judgement.go
@@ -21,6 +21,8 @@
 	headerOpen
 	// headerClosing marks a flow that has seen FIN or RST.
 	headerClosing
+	// headerMoved marks an opening that another target did not answer.
+	headerMoved
 )
 
 // retryUnit is the unit of retry-after in headers and records.
--- /dev/null
+++ b/internal/coordination/traffic/move_test.go
@@ -0,0 +1,99 @@
+package traffic
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// bareOpening returns an opening without payload that the engine's host owns.
+func bareOpening(e *Engine) Packet {
+	p := ownedPacket(e, 0, KindOpening)
+	p.Payload = 0
+	return p
+}
+
+// retransmit hands an opening to the engine at the times of a caller's TCP and
+// returns the last decision.
+func retransmit(e *Engine, now time.Time, snap *state.Snapshot, p Packet) Decision {
+	var d Decision
+	for _, after := range []time.Duration{0, time.Second, 3 * time.Second} {
+		d = e.Handle(now.Add(after), snap, &p)
+	}
+	return d
+}
+
+func TestAnUnansweredOpeningMovesToAnotherTarget(t *testing.T) {
+	for _, pinned := range []bool{false, true} {
+		snap := benchSnapshot(state.WayOwner, 0)
+		snap.Version, snap.Ready = 1, true
+		e, now := settledEngine(Settings{PinOpenings: pinned}, snap)
+		p := bareOpening(e)
+		first := e.Handle(now, snap, &p).Header.Target
+		last := retransmit(e, now, snap, p)
+		require.Equal(t, VerbRelay, last.Verb)
+		require.Equal(t, pinned, last.Header.Target == first)
+		require.Equal(t, !pinned, last.Reason == ReasonMoved)
+	}
+}
+
+func TestAnOpeningLeavesAnEjectedTargetAtOnce(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	snap.Version, snap.Ready = 1, true
+	e, now := settledEngine(Settings{}, snap)
+	p := bareOpening(e)
+	first := e.Handle(now, snap, &p).Header.Target
+	snap.Targets[first].Ejected = true
+	d := e.Handle(now.Add(time.Second), snap, &p)
+	require.NotEqual(t, first, d.Header.Target)
+	require.Zero(t, snap.Targets[first].Load.OpenFlows.Load())
+	require.Equal(t, int64(1), snap.Targets[d.Header.Target].Load.OpenFlows.Load())
+}
+
+func TestNothingMovesOncePayloadMayHaveBeenSent(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	snap.Version, snap.Ready = 1, true
+	for name, spoil := range map[string]func(*Engine, time.Time, *Packet){
+		"opened": func(e *Engine, now time.Time, p *Packet) {
+			data := *p
+			data.Kind = KindData
+			e.Handle(now, snap, &data)
+		},
+		"payload in the opening": func(_ *Engine, _ time.Time, p *Packet) { p.Payload = 10 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, now := settledEngine(Settings{}, snap)
+			p := bareOpening(e)
+			first := e.Handle(now, snap, &p).Header.Target
+			spoil(e, now, &p)
+			require.NotEqual(t, ReasonMoved, retransmit(e, now, snap, p).Reason)
+			require.Equal(t, first, e.records.find(p.Fingerprint).target)
+		})
+	}
+}
+
+func TestTheSecondOwnerFollowsAMoveUnlessTheFlowOpened(t *testing.T) {
+	for _, opened := range []bool{false, true} {
+		snap := benchSnapshot(state.WayOwner, 0)
+		snap.Version, snap.Ready = 1, true
+		e, now := settledEngine(Settings{}, snap)
+		p := benchPacket(1, KindOpening)
+		p.Payload = 0
+		p.Relay = relay.Header{Kind: relay.KindOpening, Hops: 1, Service: 1, Fingerprint: p.Fingerprint,
+			Verdict: relay.VerdictForward, Target: 3, Reason: uint8(headerFresh | headerTentative)}
+		e.Handle(now, snap, &p)
+		if opened {
+			data := p
+			data.Kind = KindData
+			e.Handle(now, snap, &data)
+		}
+		p.Relay.Target = 4
+		p.Relay.Reason = uint8(headerTentative | headerMoved)
+		target := e.Handle(now, snap, &p).Target.Number
+		require.Equal(t, opened, target == 3)
+	}
+}
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -80,6 +80,9 @@
 	if target == nil {
 		return e.search(f)
 	}
+	if e.moves(f, r, target) {
+		return e.move(f, r, target)
+	}
 	known := f.packet.Kind == KindData || f.packet.Kind == KindDatagram && r.phase == phaseOpen
 	e.observe(f, r, target)
 	if e.silent(f, r, target) {
@@ -168,6 +171,9 @@
 	e.count(f.owners.first.self, r, target)
 	switch f.packet.Kind {
 	case KindOpening:
+		if r.has(flagCounted) {
+			target.Load.Retransmits.Add(1)
+		}
 	case KindData, KindDatagram:
 		e.advance(r, target)
 	case KindClosing, KindReset:
--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -131,7 +131,7 @@
 // hasRoom reports whether a target may have a new flow within this owner's part
 // of its connection limit.
 func (e *Engine) hasRoom(f *flow, t *state.TargetEntry) bool {
-	return usable(t) && e.belowLimit(f, t)
+	return usable(t) && t.Number != f.avoid && e.belowLimit(f, t)
 }
 
 // belowLimit reports whether a target is below this owner's part of its
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -46,6 +46,9 @@
 	// ReasonSearch relays along the owner chain to find the flow's record.
 	ReasonSearch
 
+	// ReasonMoved relays or forwards a retransmitted opening to another target
+	// because its first one did not answer.
+	ReasonMoved
 	// ReasonFallback forwards without a record to the base table's target.
 	ReasonFallback
 	// ReasonBase forwards a flow without a record that is older than every
@@ -79,6 +82,7 @@
 	ReasonToOwner:         "to_owner",
 	ReasonToSecond:        "to_second",
 	ReasonToPrevious:      "to_previous",
+	ReasonMoved:           "moved",
 	ReasonSearch:          "search",
 	ReasonFallback:        "fallback",
 	ReasonBase:            "base",
--- a/internal/coordination/traffic/second.go
+++ b/internal/coordination/traffic/second.go
@@ -19,7 +19,7 @@
 	if r == nil {
 		return e.adoptUnknown(f, incoming)
 	}
-	if incoming.overrides(r) {
+	if incoming.overrides(r) || takesMove(f, r, incoming) {
 		e.adopt(r, incoming)
 		d := e.executeRecord(f, r)
 		if partner := f.owners.partner(); partner != nil && f.packet.Relay.Position == positionReturned {
--- a/internal/coordination/traffic/settings.go
+++ b/internal/coordination/traffic/settings.go
@@ -43,6 +43,9 @@
 	// NewFlowRate bounds the new flows a second of the engine, shared among
 	// customers; 0 leaves them unbounded.
 	NewFlowRate float64
+	// PinOpenings keeps each opening at its first target. It exists to show what
+	// moving unanswered openings is for.
+	PinOpenings bool
 	// SingleOwner switches the second owner and the search off. It exists to
 	// show what they are for.
 	SingleOwner bool
