Check that views agree after any faults, and that a resumed host condemns nobody

The fake link let time run back when a paused host resumed, so that its pause never showed; it now fails if an event lies in the past.

--- /dev/null
+++ b/internal/coordination/membership/converge_test.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// convergence bounds how long views may differ after the last fault.
+const convergence = 30 * time.Second
+
+// TestViewsAgreeAfterAnyFaults draws faults at random, ends them and checks that
+// every running host sees every running host, and no other.
+func TestViewsAgreeAfterAnyFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := newLink(t, rapid.Uint64().Draw(rt, "seed"))
+		l.domains(rapid.SampledFrom([][]int{{3, 2, 2}, {2, 2, 2, 1}, {4, 1}}).Draw(rt, "sizes")...)
+		l.run(5 * time.Second)
+		incarnation := uint64(1)
+		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
+			n := l.nodes[rapid.IntRange(0, len(l.nodes)-1).Draw(rt, "host")]
+			other := l.nodes[rapid.IntRange(0, len(l.nodes)-1).Draw(rt, "other")]
+			switch rapid.IntRange(0, 7).Draw(rt, "fault") {
+			case 0:
+				n.killed = true
+			case 1:
+				incarnation += rapid.Uint64Range(0, 2).Draw(rt, "incarnation")
+				l.restart(n, incarnation)
+			case 2:
+				n.paused = true
+			case 3:
+				l.resume(n)
+			case 4:
+				l.cut = func(from, to state.Host) bool { return from.ID == n.host.ID && to.ID == other.host.ID }
+			case 5:
+				l.cut = func(from, to state.Host) bool {
+					return from.Domain != to.Domain && (from.Domain == n.host.Domain || to.Domain == n.host.Domain)
+				}
+			case 6:
+				l.cut = func(_, to state.Host) bool { return to.ID == n.host.ID }
+			case 7:
+				l.loss, l.repeat = 0.2, 0.2
+			}
+			l.checkViews(rt)
+			l.run(time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "ms")) * time.Millisecond)
+			l.checkViews(rt)
+		}
+		l.healAll()
+		_, ok := l.until(convergence, l.exact)
+		require.True(rt, ok, "seed %d: %s", l.seed, l.views())
+	})
+}
+
+// restart replaces a host by a new process that knows the same seeds.
+func (l *link) restart(n *node, incarnation uint64) {
+	var hosts []state.Host
+	for _, o := range l.nodes {
+		hosts = append(hosts, o.host)
+	}
+	l.add(n.host, incarnation, hosts...)
+}
+
+func (l *link) healAll() {
+	l.cut = func(_, _ state.Host) bool { return false }
+	l.loss, l.repeat = 0, 0
+	for _, n := range slices.Clone(l.nodes) {
+		if n.paused && !n.killed {
+			l.resume(n)
+		}
+	}
+}
+
+// exact tells whether every running host sees all running hosts alive and none
+// besides.
+func (l *link) exact() bool {
+	running := 0
+	for _, n := range l.nodes {
+		if n.running() {
+			running++
+		}
+	}
+	for _, n := range l.nodes {
+		if n.running() && len(n.machine.View().Members) != running {
+			return false
+		}
+	}
+	return l.allAlive()
+}
+
+// checkViews checks what holds of every view at any time.
+func (l *link) checkViews(t require.TestingT) {
+	for _, n := range l.nodes {
+		view := n.machine.View()
+		require.GreaterOrEqual(t, view.Epoch, n.lastEpoch)
+		n.lastEpoch = view.Epoch
+		require.True(t, slices.IsSortedFunc(view.Members, func(a, b state.Member) int { return compareIDs(a.ID, b.ID) }))
+		require.True(t, slices.ContainsFunc(view.Members, func(m state.Member) bool { return m.Host == n.host }))
+		for _, m := range view.Members {
+			require.NotEqual(t, state.HostDead, m.Status)
+		}
+	}
+}
+
+func (l *link) views() map[state.HostID][]state.HostID {
+	views := make(map[state.HostID][]state.HostID)
+	for _, n := range l.nodes {
+		if !n.running() {
+			continue
+		}
+		for _, m := range n.machine.View().Members {
+			views[n.host.ID] = append(views[n.host.ID], m.ID)
+		}
+	}
+	return views
+}
--- a/internal/coordination/membership/link_test.go
+++ b/internal/coordination/membership/link_test.go
@@ -53,14 +53,15 @@
 
 // node is one machine on the link.
 type node struct {
-	host     state.Host
-	machine  *Machine
-	paused   bool
-	killed   bool
-	nextTick time.Time
-	held     []flight
-	sent     int
-	wire     *wire
+	host      state.Host
+	machine   *Machine
+	paused    bool
+	killed    bool
+	nextTick  time.Time
+	held      []flight
+	sent      int
+	lastEpoch uint32
+	wire      *wire
 }
 
 // link joins machines under virtual time.
@@ -87,7 +88,6 @@
 }
 
 func newLink(t testing.TB, seed uint64) *link {
-	t.Logf("seed %d", seed)
 	return &link{
 		t:      t,
 		seed:   seed,
@@ -175,6 +175,9 @@
 		if !next.Before(end) {
 			break
 		}
+		if next.Before(l.now) {
+			l.t.Fatalf("event at %v before now %v", next, l.now)
+		}
 		l.now = next
 		l.deliver()
 		l.tick()
@@ -230,6 +233,7 @@
 // resume wakes a paused host; what arrived meanwhile is delivered first.
 func (l *link) resume(n *node) {
 	n.paused = false
+	n.nextTick = l.now
 	held := n.held
 	n.held = nil
 	for _, f := range held {
--- a/internal/coordination/membership/machine_test.go
+++ b/internal/coordination/membership/machine_test.go
@@ -16,6 +16,7 @@
 // domains that have joined.
 func overSeeds(t *testing.T, scenario func(t *testing.T, l *link)) {
 	for seed := range uint64(seeds) {
+		t.Logf("seed %d", seed)
 		l := newLink(t, seed)
 		l.domains(2, 2, 2, 1)
 		_, ok := l.until(10*time.Second, l.complete)
@@ -74,17 +75,24 @@
 
 func TestResumedHostDoesNotTakeItsPauseForTheSilenceOfOthers(t *testing.T) {
 	overSeeds(t, func(t *testing.T, l *link) {
-		n := l.node("host-1-000")
+		n, suspect := l.node("host-1-000"), testHost(1, 1)
+		l.cut = func(from, to state.Host) bool { return to == suspect }
+		_, ok := l.until(5*time.Second, func() bool { return l.sees(n.host.ID, suspect.ID) == state.HostSuspect })
+		require.True(t, ok)
 		n.paused = true
+		l.cut = func(_, _ state.Host) bool { return false }
 		l.run(time.Minute)
 		n.held = nil
 		l.resume(n)
 		for range 500 {
 			l.run(10 * time.Millisecond)
 			for _, other := range l.nodes {
-				require.NotEqual(t, state.HostDead, l.sees(n.host.ID, other.host.ID))
+				seen := l.sees(n.host.ID, other.host.ID)
+				require.NotEqual(t, state.HostDead, seen)
+				require.True(t, seen == state.HostAlive || other.host == suspect)
 			}
 		}
+		require.True(t, l.allAlive())
 	})
 }
 
