--- a/internal/coordination/control/control_test.go
+++ b/internal/coordination/control/control_test.go
@@ -80,3 +80,7 @@
 		})
 	}
 }
+
+func targetChange(id state.TargetID, leaving *bool) state.TargetChange {
+	return state.TargetChange{ID: id, Leaving: leaving}
+}
--- /dev/null
+++ b/internal/coordination/control/drain_test.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/release"
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/stretchr/testify/require"
+)
+
+// drainBound is how soon a draining target must get no new flow anywhere.
+const drainBound = 3 * time.Second
+
+// putLoads writes the platform's view of feed-1 and feed-2.
+func putLoads(w *world, draining bool, load float64) {
+	list := objects.LoadList{Loads: []objects.TargetLoad{
+		{Target: "feed-1", Healthy: true, Draining: draining, Load: load, At: w.now},
+		{Target: "feed-2", Healthy: true, Load: load, At: w.now},
+	}}
+	w.store.put(objects.KeyLoads, w.store.objects[objects.KeyLoads].Version, mustEncode(list))
+}
+
+// leavingEverywhere tells whether all hosts hold feed-1 to be leaving, or none.
+func leavingEverywhere(w *world, leaving bool) bool {
+	targets := w.nodes[0].core.Release().Services[0].Targets
+	index := slices.IndexFunc(targets, func(target state.Target) bool { return target.ID == "feed-1" })
+	number := targets[index].Number
+	for _, n := range w.nodes {
+		if n.alive && n.snapshot.Targets[number].Leaving != leaving {
+			return false
+		}
+	}
+	return true
+}
+
+func TestDrainSignalReachesEveryHost(t *testing.T) {
+	for _, sizes := range [][]int{{3, 2, 2}, {2, 2, 2, 1}, {30}} {
+		t.Run(fmt.Sprint(sizes), func(t *testing.T) {
+			w := settled(t, 21, release.VariantSound, sizes...)
+			slowest := time.Duration(0)
+			for round := range 10 {
+				for range 3 {
+					putLoads(w, round%2 == 1, 0.5)
+					w.run(time.Second)
+				}
+				began := w.now
+				putLoads(w, round%2 == 0, 0.5)
+				require.True(t, w.until(drainBound, func() bool { return leavingEverywhere(w, round%2 == 0) }), "round %d", round)
+				slowest = max(slowest, w.now.Sub(began))
+			}
+			t.Logf("slowest of 10 drain signals: %s", slowest)
+			require.Empty(t, w.promises.broken)
+		})
+	}
+}
+
+func TestTargetMarkedLeavingByNoteStaysLeaving(t *testing.T) {
+	w := settled(t, 22, release.VariantSound, 2, 1)
+	note := nextNote("second", 1)
+	leaving := true
+	note.ChangeTargets = append(note.ChangeTargets, targetChange("feed-1", &leaving))
+	w.store.submit(note)
+	require.True(t, w.until(catchUp, func() bool { return w.inForce(2) }))
+	putLoads(w, false, 0.1)
+	w.run(10 * time.Second)
+	require.True(t, leavingEverywhere(w, true))
+}
+
+func TestFailingTargetIsEjected(t *testing.T) {
+	w := settled(t, 23, release.VariantSound, 2, 1, 1)
+	n := w.nodes[0]
+	targets := n.core.Release().Services[0].Targets
+	for range 10 {
+		var report TrafficReported
+		for index, target := range targets {
+			seen := TargetReport{Number: target.Number, Openings: 50, Completed: 50}
+			if index == 0 {
+				seen.Completed = 0
+			}
+			report.Targets = append(report.Targets, seen)
+		}
+		w.deliver(n, n.run, report)
+		w.run(time.Second)
+	}
+	require.True(t, n.snapshot.Targets[targets[0].Number].Ejected)
+	require.False(t, n.snapshot.Targets[targets[1].Number].Ejected)
+}
