--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -1,7 +1,8 @@
 // Package slopes measures how the cost of an entry host grows with one quantity
 // at a time. It drives the cores in this process, in virtual time where time
 // matters, and reports points and fitted lines. Runs are bounded in count, time
-// and memory, and repeatable by their seed but for the clock's noise.
+// and memory, and repeatable by their seed but for the noise of
+// processor times.
 package slopes
 
 import (
@@ -75,6 +76,9 @@
 		{"new_flows", "new flows a second at two owners", []int{500, 1000, 2000, 4000, 8000}, measureNewFlows},
 		{"targets", "targets of 360 services", []int{720, 1800, 3600, 7200, 14_400, 27_000}, measureTargets},
 		{"services", "services of 7 or 8 targets each", []int{225, 450, 900, 1800, 3600}, measureServices},
+		{"domain_hosts", "hosts of a failure domain", []int{8, 16, 32, 64, 128, 256}, measureDomainHosts},
+		{"domains", "failure domains of 8 hosts each", []int{2, 3, 4, 6, 8}, measureDomains},
+		{"releases", "releases a minute to 4 domains of 4 hosts", []int{1, 2, 4, 6, 12}, measureReleases},
 	}
 }
 
@@ -133,6 +137,7 @@
 	return chosen, nil
 }
 
+// run measures the points of a series in turn.
 func (p plan) run(r *run, o Options) (Series, error) {
 	series := Series{Name: p.name, Quantity: p.quantity}
 	for _, x := range p.xs {
@@ -142,7 +147,9 @@
 			break
 		}
 		began := time.Now()
-		metrics, err := p.measure(r, x)
+		var metrics []Metric
+		var err error
+		locked(func() { metrics, err = p.measure(r, x) })
 		if err != nil {
 			return series, err
 		}
