Pass drain signals to a domain that lost the platform

Watchers whose calls fail ask a host of another domain for the platform's lists. A draining target joins the matrix as a fault, alone and in five pairs: no connected host may give it new work after 3 s.

--- a/internal/coordination/control/drain_test.go
+++ b/internal/coordination/control/drain_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -24,13 +23,20 @@
 	w.store.put(objects.KeyLoads, w.store.objects[objects.KeyLoads].Version, mustEncode(list))
 }
 
+// holdsLeaving tells whether the host holds feed-1 to be leaving.
+func holdsLeaving(n *node) bool {
+	for _, target := range n.snapshot.Targets {
+		if target.ID == "feed-1" {
+			return target.Leaving
+		}
+	}
+	return false
+}
+
 // leavingEverywhere tells whether all hosts hold feed-1 to be leaving, or none.
 func leavingEverywhere(w *world, leaving bool) bool {
-	targets := w.nodes[0].core.Release().Services[0].Targets
-	index := slices.IndexFunc(targets, func(target state.Target) bool { return target.ID == "feed-1" })
-	number := targets[index].Number
 	for _, n := range w.nodes {
-		if n.alive && n.snapshot.Targets[number].Leaving != leaving {
+		if n.alive && holdsLeaving(n) != leaving {
 			return false
 		}
 	}
@@ -58,6 +64,15 @@
 	}
 }
 
+func TestDrainSignalReachesADomainThatLostThePlatform(t *testing.T) {
+	w := settled(t, 24, release.VariantSound, 3, 2, 2)
+	putLoads(w, false, 0.5)
+	w.store.cut = []state.DomainID{w.nodes[6].host.Domain}
+	w.run(30 * time.Second)
+	putLoads(w, true, 0.5)
+	require.True(t, w.until(drainBound, func() bool { return leavingEverywhere(w, true) }))
+}
+
 func TestTargetMarkedLeavingByNoteStaysLeaving(t *testing.T) {
 	w := settled(t, 22, release.VariantSound, 2, 1)
 	note := nextNote("second", 1)
--- a/internal/coordination/control/faults_test.go
+++ b/internal/coordination/control/faults_test.go
@@ -117,6 +117,10 @@
 			listHosts(c, []state.Host{testHost(0, 8), testHost(1, 8), testHost(2, 8)})
 		},
 	},
+	{name: "target drains", begin: func(c *cell) {
+		putLoads(c.w, true, 0.5)
+		c.w.after(drainBound, c.checkDrain)
+	}},
 	{name: "host list is empty", begin: func(c *cell) { listHosts(c, nil) }},
 }
 
@@ -143,6 +147,11 @@
 		{"domain cut off from both", "racing operator"},
 		{"host leaving", "platform down"},
 		{"host leaving", "messages lost"},
+		{"target drains", "messages lost"},
+		{"target drains", "host killed"},
+		{"target drains", "host paused"},
+		{"target drains", "domain cut off from the others"},
+		{"target drains", "host restarted with nothing"},
 		{"host list names the dead", "domain cut off from the others"},
 	} {
 		pairs = append(pairs, []fault{faultNamed(names[0]), faultNamed(names[1])})
--- a/internal/coordination/control/matrix_test.go
+++ b/internal/coordination/control/matrix_test.go
@@ -178,6 +178,16 @@
 	}
 }
 
+// checkDrain checks that every host that was not away holds the draining target
+// to be leaving.
+func (c *cell) checkDrain() {
+	for _, n := range c.w.nodes {
+		if n.alive && !c.excused(n) && n.snapshot.Ready && !holdsLeaving(n) {
+			c.w.promises.fail("%s still gives new work to a draining target", n.host.ID)
+		}
+	}
+}
+
 // checkNext checks that the system still makes releases.
 func (c *cell) checkNext() {
 	head, _ := c.w.store.head()
--- a/internal/coordination/listing/machine.go
+++ b/internal/coordination/listing/machine.go
@@ -40,9 +40,11 @@
 
 // Machine holds the newest lists that one host has heard of.
 type Machine struct {
-	self  state.Host
-	rng   *rand.Rand
+	self state.Host
+	rng  *rand.Rand
+	// peers are the other hosts of this domain, far those of other domains.
 	peers []state.Host
+	far   []state.Host
 	out   Output
 
 	hosts HostsNews
@@ -63,11 +65,15 @@
 	return &Machine{self: self, rng: rng}
 }
 
-// SetView tells the machine its peers: the other hosts of its domain.
+// SetView tells the machine the other hosts.
 func (m *Machine) SetView(view state.View) {
 	m.peers = nil
+	m.far = nil
 	for _, member := range view.Members {
-		if member.Domain == m.self.Domain && member.ID != m.self.ID {
+		switch {
+		case member.Domain != m.self.Domain:
+			m.far = append(m.far, member.Host)
+		case member.ID != m.self.ID:
 			m.peers = append(m.peers, member.Host)
 		}
 	}
@@ -86,7 +92,8 @@
 	return out
 }
 
-// Tick lets time pass; watching hosts read the platform.
+// Tick lets time pass; watching hosts read the platform. While it does not
+// answer them, they ask a host of another domain.
 func (m *Machine) Tick(now time.Time, watching bool) {
 	if watching {
 		m.watch(now)
@@ -98,7 +105,10 @@
 		return
 	}
 	m.nextDigest = now.Add(DigestInterval)
-	m.spread(m.digest(), 1)
+	m.spread(m.peers, m.digest(), 1)
+	if watching && !m.listed {
+		m.spread(m.far, m.digest(), 1)
+	}
 }
 
 func (m *Machine) digest() Digest {
@@ -184,7 +194,7 @@
 		return
 	}
 	m.hosts = news
-	m.spread(news, Fanout)
+	m.spread(m.peers, news, Fanout)
 }
 
 func (m *Machine) takeLoads(news LoadsNews) {
@@ -192,7 +202,7 @@
 		return
 	}
 	m.loads = news
-	m.spread(news, Fanout)
+	m.spread(m.peers, news, Fanout)
 }
 
 // Receive handles a message of this package.
@@ -220,12 +230,12 @@
 	}
 }
 
-func (m *Machine) spread(msg message.Message, count int) {
-	if len(m.peers) == 0 {
+func (m *Machine) spread(hosts []state.Host, msg message.Message, count int) {
+	if len(hosts) == 0 {
 		return
 	}
-	for _, index := range m.rng.Perm(len(m.peers))[:min(count, len(m.peers))] {
-		m.send(m.peers[index], msg)
+	for _, index := range m.rng.Perm(len(hosts))[:min(count, len(hosts))] {
+		m.send(hosts[index], msg)
 	}
 }
 
