--- a/internal/coordination/control/lifecycle_test.go
+++ b/internal/coordination/control/lifecycle_test.go
@@ -81,19 +81,27 @@
 }
 
 func TestFaultyNoteIsRefusedEverywhere(t *testing.T) {
-	w := settled(t, 14, release.VariantSound, 3, 2, 2)
-	w.store.submit(state.Note{
-		ID: "second", Base: 1, Deadline: 10 * time.Second, WithdrawTargets: []state.TargetID{"no-such-target"},
-	})
-	w.run(3 * time.Second)
-	head, _ := w.store.head()
-	decision, _ := head.Decision("second")
-	require.Equal(t, objects.NoteRefused, decision.State)
-	require.Contains(t, decision.Reason, "no-such-target")
-	require.True(t, w.inForce(1))
-	w.store.submit(nextNote("third", 1))
-	require.True(t, w.until(catchUp, func() bool { return w.inForce(2) }))
-	require.Empty(t, w.promises.broken)
+	for name, without := range map[string][]state.DomainID{
+		"all domains count": nil,
+		"no domain counts":  {"zone-a", "zone-b", "zone-c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := settled(t, 14, release.VariantSound, 3, 2, 2)
+			w.store.submit(state.Note{
+				ID: "second", Base: 1, Deadline: noteDeadline, Without: without,
+				WithdrawTargets: []state.TargetID{"no-such-target"},
+			})
+			w.run(3 * time.Second)
+			head, _ := w.store.head()
+			decision, _ := head.Decision("second")
+			require.Equal(t, objects.NoteRefused, decision.State)
+			require.Contains(t, decision.Reason, "no-such-target")
+			require.True(t, w.inForce(1))
+			w.store.submit(nextNote("third", 1))
+			require.True(t, w.until(catchUp, func() bool { return w.inForce(2) }))
+			require.Empty(t, w.promises.broken)
+		})
+	}
 }
 
 func TestLeaveEndsAtItsDeadlineThoughRecordsStay(t *testing.T) {
