--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -19,6 +19,11 @@
 	// ReasonUnsettled drops: an owner whose view or process is young cannot
 	// refuse an opening or fall back for a flow without a record.
 	ReasonUnsettled
+	// ReasonCutOff drops: a failure domain vanished lately, and with it perhaps
+	// the record of a flow.
+	ReasonCutOff
+	// ReasonSearchLimit drops: too many packets without a record.
+	ReasonSearchLimit
 	// ReasonUnknownTarget drops: the record's target is not known here.
 	ReasonUnknownTarget
 	// ReasonAddressReused drops: the target's address now serves another service.
@@ -71,6 +76,8 @@
 	ReasonTooManyHops:     "too_many_hops",
 	ReasonNoHosts:         "no_hosts",
 	ReasonUnsettled:       "unsettled",
+	ReasonCutOff:          "cut_off",
+	ReasonSearchLimit:     "search_limit",
 	ReasonUnknownTarget:   "unknown_target",
 	ReasonAddressReused:   "address_reused",
 	ReasonRefusedFlow:     "refused_flow",
