--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,10 +5,11 @@
 # non-zero if a flow broke, a packet reached a wrong service or a request ran
 # twice. Settings and logs go to a temporary directory, which is kept on failure.
 #
-# Usage: scripts/demo.sh [--leave HOST] [--kill HOST]
+# Usage: scripts/demo.sh [--leave HOST] [--kill HOST] [--idle SECONDS]
 #
 # --leave sends SIGTERM to an entry host (a1 to c2) under the load, --kill sends
-# SIGKILL; the platform's list of hosts follows a second later.
+# SIGKILL; the platform's list of hosts follows a second later. --idle puts no
+# load on: it prints what the entry hosts use before and after the time.
 #
 # DEMO_NET sets the first two bytes of the loopback addresses, DEMO_SEED the seed
 # of the load.
@@ -27,12 +28,14 @@
 
 leaving=""
 killed=""
+idle=""
 while [ $# -gt 0 ]; do
 	case $1 in
 	--leave) leaving=${2:?} ;;
 	--kill) killed=${2:?} ;;
+	--idle) idle=${2:?} ;;
 	*)
-		echo "usage: scripts/demo.sh [--leave HOST] [--kill HOST]"
+		echo "usage: scripts/demo.sh [--leave HOST] [--kill HOST] [--idle SECONDS]"
 		exit 2
 		;;
 	esac
@@ -313,6 +316,29 @@
 echo "demo: applying the first release note"
 ./bin/guavactl apply "$dir/demo-1.toml" --platform "$platform" --wait 30s
 
+# usage prints processor time and memory of each entry host.
+usage() {
+	local index id ticks rss
+	for index in "${!names[@]}"; do
+		id=${names[index]}
+		if [ ${#id} -ne 2 ] || [ ! -r "/proc/${pids[index]}/stat" ]; then
+			continue
+		fi
+		ticks=$(awk '{print $14 + $15}' "/proc/${pids[index]}/stat")
+		rss=$(awk '/^VmRSS/ {print $2}' "/proc/${pids[index]}/status")
+		echo "entry host   $id: $((ticks * 1000 / $(getconf CLK_TCK))) ms of processor time, $((rss / 1024)) MB"
+	done
+}
+
+if [ -n "$idle" ]; then
+	usage
+	sleep "$idle"
+	echo "demo: after $idle s without load"
+	usage
+	failed=0
+	exit 0
+fi
+
 caller_settings >"$dir/callers.toml"
 echo "demo: load starts"
 ./bin/guava-standin callers --config "$dir/callers.toml" >"$dir/summary.txt" 2>"$dir/callers.log" &
@@ -361,20 +387,6 @@
 	stop_host "$killed" KILL
 fi
 
-# usage prints processor time and memory of each entry host.
-usage() {
-	local index id ticks rss
-	for index in "${!names[@]}"; do
-		id=${names[index]}
-		if [ ${#id} -ne 2 ] || [ ! -r "/proc/${pids[index]}/stat" ]; then
-			continue
-		fi
-		ticks=$(awk '{print $14 + $15}' "/proc/${pids[index]}/stat")
-		rss=$(awk '/^VmRSS/ {print $2}' "/proc/${pids[index]}/status")
-		echo "entry host   $id: $((ticks * 1000 / $(getconf CLK_TCK))) ms of processor time, $((rss / 1024)) MB"
-	done
-}
-
 status=0
 wait "$callers" || status=$?
 cat "$dir/summary.txt"
