Run the scenarios past their stops

Cause: testscript has a command "stop" of its own that ends a script early and passes it, and it goes before the commands of the test. no_peer, platform_outage, release and rolling_restart therefore never ran what follows their first stop. Change: the command is named terminate.

--- a/internal/scenarios/scenarios_test.go
+++ b/internal/scenarios/scenarios_test.go
@@ -5,7 +5,7 @@
 //
 //	cluster HOSTS DOMAINS      start the platform and entry hosts a1, b1, ... a2, ...
 //	start NAME                 start an entry host, or "platform", again
-//	stop NAME                  SIGTERM, then wait for exit code 0
+//	terminate NAME             SIGTERM, then wait for exit code 0
 //	crash NAME                 SIGKILL, then wait for the end
 //	freeze NAME, thaw NAME     SIGSTOP, SIGCONT
 //	fault JSON                 set the platform's faults; {} clears them
@@ -66,7 +66,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"cluster":    cmdCluster,
 			"start":      cmdStart,
-			"stop":       cmdStop,
+			"terminate":  cmdTerminate,
 			"crash":      cmdCrash,
 			"freeze":     cmdFreeze,
 			"thaw":       cmdThaw,
@@ -126,7 +126,7 @@
 	ts.Check(c.startHost(args[0]))
 }
 
-func cmdStop(ts *testscript.TestScript, _ bool, args []string) {
+func cmdTerminate(ts *testscript.TestScript, _ bool, args []string) {
 	c := clusterOf(ts)
 	ts.Check(c.signal(args[0], syscall.SIGTERM))
 	code, err := c.wait(args[0])
