--- a/internal/standin/slopes/hosts.go
+++ b/internal/standin/slopes/hosts.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	second = time.Second
 	// settleLimit bounds the virtual time until a fleet has one view.
 	settleLimit = 3 * time.Minute
 	// watchTime is the virtual time that a quiet fleet is measured for.
--- a/internal/standin/slopes/releases.go
+++ b/internal/standin/slopes/releases.go
@@ -83,6 +83,9 @@
 	return f, err
 }
 
+// maxTargetsPerService keeps the targets of two notes apart.
+const maxTargetsPerService = 10
+
 // addServices adds services with their targets to a note.
 func addServices(note *state.Note, firstService, services, targets, domains int) {
 	next := 0
@@ -96,7 +99,7 @@
 			IdleTimeout: service.IdleTimeout,
 		})
 		for ; next < targets*(s+1)/services; next++ {
-			target := testTarget(firstService*targets/services+next, next%domains)
+			target := testTarget(firstService*maxTargetsPerService+next, next%domains)
 			note.AddTargets = append(note.AddTargets, specOf(target, service.ID))
 		}
 	}
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -76,6 +76,7 @@
 		{"new_flows", "new flows a second at two owners", []int{500, 1000, 2000, 4000, 8000}, measureNewFlows},
 		{"targets", "targets of 360 services", []int{720, 1800, 3600, 7200, 14_400, 27_000}, measureTargets},
 		{"services", "services of 7 or 8 targets each", []int{225, 450, 900, 1800, 3600}, measureServices},
+		{"judged", "targets that one host judges each second", []int{844, 1688, 3375, 6750, 13_500, 27_000}, measureJudged},
 		{"domain_hosts", "hosts of a failure domain", []int{8, 16, 32, 64, 128, 256}, measureDomainHosts},
 		{"domains", "failure domains of 8 hosts each", []int{2, 3, 4, 6, 8}, measureDomains},
 		{"releases", "releases a minute to 4 domains of 4 hosts", []int{1, 2, 4, 6, 12}, measureReleases},
