Count and report targets only where there is news

Cause: at the planned 27,000 targets each event of the control goroutine counted all targets for a gauge, and each second a report listed all of them. Ruled out: fewer events, since ticks and messages come ten times a second and more. Conclusion: both costs now follow the traffic rather than the size of the release.

--- a/internal/coordination/control/types.go
+++ b/internal/coordination/control/types.go
@@ -40,6 +40,7 @@
 type LeaveRequested struct{}
 
 // TrafficReported carries per-target counts from traffic, at most once a second.
+// Targets without news may be left out.
 type TrafficReported struct {
 	// OpenFlows is the number of records held by this host.
 	OpenFlows int
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -26,13 +26,18 @@
 	targets atomic.Int64
 	ready   atomic.Bool
 	leaving atomic.Bool
+	// counted is the snapshot whose targets were counted last.
+	counted *state.Snapshot
 }
 
 // set takes the values over. Only the control goroutine calls it.
 func (g *gauges) set(c *controller) {
 	g.version.Store(int64(c.snapshot.Version))
 	g.members.Store(int64(len(c.snapshot.View.Members)))
-	g.targets.Store(int64(countTargets(c.snapshot)))
+	if g.counted != c.snapshot {
+		g.counted = c.snapshot
+		g.targets.Store(int64(countTargets(c.snapshot)))
+	}
 	g.ready.Store(c.snapshot.Ready)
 	g.leaving.Store(c.snapshot.Leaving)
 }
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -25,26 +25,57 @@
 // reporter turns the counters of targets into what was seen since the last
 // report.
 type reporter struct {
+	// last holds the targets that traffic ever saw.
 	last map[*state.TargetLoad]totals
+	// version is the release whose targets last was limited to.
+	version state.ReleaseVersion
 }
 
-// next returns the report since the last call.
+// next returns what was seen since the last call. Targets without news are left
+// out, so that the report grows with the traffic and not with the release.
 func (r *reporter) next(snapshot *state.Snapshot, flows int) control.TrafficReported {
+	if r.last == nil || r.version != snapshot.Version {
+		r.limit(snapshot)
+	}
 	report := control.TrafficReported{OpenFlows: flows}
-	seen := make(map[*state.TargetLoad]totals, len(snapshot.Targets))
-	for number, target := range snapshot.Targets {
-		current := totalsOf(target.Load)
-		before := r.last[target.Load]
-		seen[target.Load] = current
-		report.Targets = append(report.Targets, control.TargetReport{
-			Number:      number,
-			OpenFlows:   target.Load.OpenFlows.Load(),
-			Openings:    current.openings - before.openings,
-			Completed:   current.completed - before.completed,
-			Retransmits: current.retransmits - before.retransmits,
-			Resets:      current.resets - before.resets,
-		})
+	for _, service := range snapshot.Services {
+		for _, target := range service.Entries {
+			current := totalsOf(target.Load)
+			if current == (totals{}) {
+				continue
+			}
+			before := r.last[target.Load]
+			if current == before {
+				continue
+			}
+			r.last[target.Load] = current
+			report.Targets = append(report.Targets, rowOf(target, before, current))
+		}
 	}
-	r.last = seen
 	return report
 }
+
+func rowOf(target *state.TargetEntry, before, current totals) control.TargetReport {
+	return control.TargetReport{
+		Number:      target.Number,
+		OpenFlows:   target.Load.OpenFlows.Load(),
+		Openings:    current.openings - before.openings,
+		Completed:   current.completed - before.completed,
+		Retransmits: current.retransmits - before.retransmits,
+		Resets:      current.resets - before.resets,
+	}
+}
+
+// limit drops what is kept of targets that the snapshot lacks.
+func (r *reporter) limit(snapshot *state.Snapshot) {
+	kept := make(map[*state.TargetLoad]totals, len(r.last))
+	for _, service := range snapshot.Services {
+		for _, target := range service.Entries {
+			if before, ok := r.last[target.Load]; ok {
+				kept[target.Load] = before
+			}
+		}
+	}
+	r.last = kept
+	r.version = snapshot.Version
+}
--- /dev/null
+++ b/internal/daemon/scale_test.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/control"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// plannedTargets is the planned number of targets behind all services.
+const plannedTargets = 27_000
+
+// plannedServices is the planned number of services.
+const plannedServices = 3_600
+
+func plannedSnapshot() *state.Snapshot { return snapshotOf(plannedServices, plannedTargets) }
+
+func snapshotOf(services, targets int) *state.Snapshot {
+	snapshot := &state.Snapshot{
+		Version:  1,
+		Services: make(map[state.ServiceAddress]*state.ServiceEntry),
+		Targets:  make(map[state.TargetNumber]*state.TargetEntry),
+	}
+	entries := make([]*state.ServiceEntry, services)
+	for n := range services {
+		ip := netip.AddrFrom4([4]byte{198, 51, byte(n >> 8), byte(n)})
+		entries[n] = &state.ServiceEntry{}
+		snapshot.Services[state.ServiceAddress{Protocol: state.TCP, Address: netip.AddrPortFrom(ip, 443)}] = entries[n]
+	}
+	for n := range targets {
+		target := &state.TargetEntry{
+			Target: state.Target{Number: state.TargetNumber(n + 1)},
+			Load:   &state.TargetLoad{},
+		}
+		snapshot.Targets[target.Number] = target
+		service := entries[n%services]
+		service.Entries = append(service.Entries, target)
+	}
+	return snapshot
+}
+
+func TestReportNamesTargetsWithNews(t *testing.T) {
+	snapshot := snapshotOf(2, 4)
+	var r reporter
+	require.Empty(t, r.next(snapshot, 0).Targets)
+	snapshot.Targets[3].Load.Openings.Add(5)
+	snapshot.Targets[3].Load.OpenFlows.Add(2)
+	snapshot.Targets[4].Load.Resets.Add(1)
+	require.ElementsMatch(t, []control.TargetReport{
+		{Number: 3, OpenFlows: 2, Openings: 5},
+		{Number: 4, Resets: 1},
+	}, r.next(snapshot, 0).Targets)
+	snapshot.Targets[3].Load.Openings.Add(1)
+	require.Equal(t, []control.TargetReport{{Number: 3, OpenFlows: 2, Openings: 1}}, r.next(snapshot, 0).Targets)
+
+	next := snapshotOf(1, 1)
+	next.Version = 2
+	require.Empty(t, r.next(next, 0).Targets)
+	require.Empty(t, r.last)
+}
+
+func TestGaugeFollowsSnapshot(t *testing.T) {
+	c := &controller{snapshot: snapshotOf(1, 3)}
+	var g gauges
+	g.set(c)
+	require.Equal(t, int64(3), g.targets.Load())
+	c.snapshot = snapshotOf(1, 2)
+	c.snapshot.Targets[1].Withdrawn = true
+	g.set(c)
+	require.Equal(t, int64(1), g.targets.Load())
+}
+
+// BenchmarkGauges is what each event of the control goroutine pays.
+func BenchmarkGauges(b *testing.B) {
+	c := &controller{snapshot: plannedSnapshot()}
+	var g gauges
+	for b.Loop() {
+		g.set(c)
+	}
+}
+
+// BenchmarkReport is what each report of traffic pays, with a hundred targets
+// that had openings.
+func BenchmarkReport(b *testing.B) {
+	snapshot := plannedSnapshot()
+	var r reporter
+	for b.Loop() {
+		for n := range 100 {
+			snapshot.Targets[state.TargetNumber(n+1)].Load.Openings.Add(1)
+		}
+		r.next(snapshot, 0)
+	}
+}
