--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -51,6 +51,9 @@
 	// ReasonSearch relays to the next host that may have the flow's record.
 	ReasonSearch
 
+	// ReasonMoved relays or forwards a retransmitted opening to another target
+	// because its first one did not answer.
+	ReasonMoved
 	// ReasonFallback forwards without a record to the base table's target.
 	ReasonFallback
 	// ReasonBase forwards a flow without a record that is older than every
@@ -86,6 +89,7 @@
 	ReasonToOwner:         "to_owner",
 	ReasonToSecond:        "to_second",
 	ReasonToPrevious:      "to_previous",
+	ReasonMoved:           "moved",
 	ReasonSearch:          "search",
 	ReasonFallback:        "fallback",
 	ReasonBase:            "base",
