Hand a packet back to the host that relayed it

Change: packets go back to their sender, and a search takes a known verdict along; the first host that knows the target delivers it, and nobody guesses.

--- a/internal/coordination/traffic/experiment/plan_test.go
+++ b/internal/coordination/traffic/experiment/plan_test.go
@@ -163,6 +163,20 @@
 	}
 }
 
+func TestRefusedOpeningsReachNoTarget(t *testing.T) {
+	overloaded := traffic.Settings{NewFlowRate: 10, MaxRecords: 400}
+	for _, topology := range []Topology{Huaman, Hanbit} {
+		for _, c := range []change{releaseChange, drainHost, joinHost, killHost} {
+			for seed := range seeds() {
+				b := runChanges(topology, seed, state.WayOwner, overloaded, c, releaseChange)
+				t.Logf("%s, %s, seed %d: %v", topology.Name, c.name, seed, b.Counts)
+				require.NotZero(t, b.Counts.Refused)
+				requireWhole(t, b, topology.Name+" "+c.name)
+			}
+		}
+	}
+}
+
 func TestSingleOwnerBreaksFlows(t *testing.T) {
 	b := runChanges(Huaman, 1, state.WayOwner, traffic.Settings{SingleOwner: true}, killHost, releaseChange)
 	t.Logf("%v", b.Counts)
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -76,11 +76,15 @@
 	return chosen
 }
 
-// search passes a packet without a record on to the next host that may have it.
-// The last one falls back to the base table.
+// search passes a packet on to the next host that may have its flow's record.
+// The last one falls back to the base table. A verdict that is known already,
+// with a target that this host does not know, goes along.
 func (e *Engine) search(f *flow) Decision {
-	recorded := e.records.find(f.packet.Fingerprint) != nil
-	if !recorded && e.belongsToBase(f) {
+	known := e.knownVerdict(f)
+	if known.verdict == relay.VerdictForward && e.snap.Targets[known.target] != nil {
+		return e.forward(f.routes.entry.Number, known.target, ReasonNone)
+	}
+	if known.verdict == relay.VerdictNone && e.belongsToBase(f) {
 		return e.byBase(f)
 	}
 	hops, position := uint8(0), 0
@@ -89,17 +93,39 @@
 		position = int(f.packet.Relay.Position)
 	}
 	if e.settings.SingleOwner || hops >= relay.MaxHops {
-		return e.fallBack(f)
+		return e.endSearch(f, known)
 	}
 	if position == 0 && !e.beginSearch() {
 		return drop(ReasonSearchLimit)
 	}
 	order := newSearchOrder(e.view, f.packet.Fingerprint)
 	for cell := position; cell < order.cells(); cell++ {
-		if h := order.host(cell); h != nil && !h.self {
-			return e.relayTo(f, h, cell+1, ReasonSearch)
+		if to := order.host(cell); to != nil && !to.self {
+			h := known.header(relay.KindPacket)
+			h.Position = uint8(cell + 1)
+			return e.relayHeader(f, to, h, ReasonSearch)
 		}
 	}
+	return e.endSearch(f, known)
+}
+
+// knownVerdict returns the verdict of the flow's record here or of the packet's
+// header; it has no verdict if there is neither.
+func (e *Engine) knownVerdict(f *flow) judgement {
+	if r := e.records.find(f.packet.Fingerprint); r != nil && r.forwards() {
+		return judgementFrom(r)
+	}
+	if f.packet.Relayed && f.packet.Relay.Kind == relay.KindPacket {
+		return judgementOf(f.packet.Relay)
+	}
+	return judgement{}
+}
+
+// endSearch ends a search that no host could answer.
+func (e *Engine) endSearch(f *flow, known judgement) Decision {
+	if known.verdict != relay.VerdictNone {
+		return drop(ReasonUnknownTarget)
+	}
 	return e.fallBack(f)
 }
 
@@ -116,12 +142,8 @@
 // fallBack forwards a packet in mid-flow to the target that the base table
 // gives, and records that it was a guess. It does so only when neither this
 // process nor the owners are new and no failure domain has vanished lately: the
-// record may be elsewhere, and a wrong guess ends the flow. A flow whose record
-// is here, with a target that this host does not know, is not guessed at.
+// record may be elsewhere, and a wrong guess ends the flow.
 func (e *Engine) fallBack(f *flow) Decision {
-	if e.records.find(f.packet.Fingerprint) != nil {
-		return drop(ReasonUnknownTarget)
-	}
 	if !e.settled(f.owners.home) || e.ownersChanged(f) {
 		return drop(ReasonUnsettled)
 	}
--- a/internal/coordination/traffic/second.go
+++ b/internal/coordination/traffic/second.go
@@ -37,10 +37,7 @@
 // owner of before a change hands the packet back with its verdict, so that the
 // present owners know it before the target answers.
 func (e *Engine) disagree(f *flow, r *record) Decision {
-	sender := e.view.host(f.packet.From)
-	if sender == nil {
-		sender = f.owners.partner()
-	}
+	sender := e.sender(f)
 	if f.packet.Relay.Position == positionFormer && sender != nil {
 		r.clear(flagTentative)
 		h := recordHeader(relay.KindOpening, r)
@@ -54,6 +51,15 @@
 	return d
 }
 
+// sender returns the host that relayed the packet, or the partner if the view
+// does not hold that host; nil if there is neither.
+func (e *Engine) sender(f *flow) *hostRoute {
+	if sender := e.view.host(f.packet.From); sender != nil {
+		return sender
+	}
+	return f.owners.partner()
+}
+
 // adoptUnknown takes the verdict for a flow that this host has no record of.
 func (e *Engine) adoptUnknown(f *flow, v judgement) Decision {
 	if v.verdict == relay.VerdictRefuse && !e.settled(f.owners.home) {
@@ -128,10 +134,10 @@
 
 // returnToOwner hands a packet back to the owner that knows the target.
 func (e *Engine) returnToOwner(f *flow, r *record) Decision {
-	partner := f.owners.partner()
-	if partner == nil {
+	sender := e.sender(f)
+	if sender == nil {
 		return drop(ReasonUnknownTarget)
 	}
 	h := recordHeader(relay.KindPacket, r)
-	return e.relayHeader(f, partner, h, ReasonToOwner)
+	return e.relayHeader(f, sender, h, ReasonToOwner)
 }
