Leave a note alone whose decision is no longer kept

Cause: the head keeps the newest decisions only; applying an accepted note again after that recorded it as refused, since its base was old. Ruled out: keeping every decision in the head, which has a size limit. Change: a note that was stored before, has an old base and is not named by the head is not handed in; its status says why it is not known.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -28,11 +28,12 @@
 // error with CodeNoteIDTaken means the note was not handed in; any other error
 // leaves the outcome unknown.
 func (s *Store) HandIn(ctx context.Context, note *state.Note, now time.Time) error {
-	if err := s.createNote(ctx, note, now); err != nil {
+	fresh, err := s.createNote(ctx, note, now)
+	if err != nil {
 		return err
 	}
 	for range maxHeadAttempts {
-		done, err := s.submit(ctx, note, now)
+		done, err := s.submit(ctx, note, fresh, now)
 		if done || err != nil {
 			return err
 		}
@@ -41,29 +42,30 @@
 }
 
 // createNote writes the note's object, or makes sure that it is there already.
-func (s *Store) createNote(ctx context.Context, note *state.Note, now time.Time) error {
+// It reports whether this call is known to have written it.
+func (s *Store) createNote(ctx context.Context, note *state.Note, now time.Time) (bool, error) {
 	key := objects.PrefixNotes + string(note.ID)
 	stored := objects.Note{ID: note.ID, Content: *note, Submitted: now}
 	outcome, err := s.put(ctx, key, 0, stored)
 	if err != nil || outcome.Result == objects.ResultOK {
-		return err
+		return true, err
 	}
 	if outcome.Result == objects.ResultRefused {
-		return failure(key, outcome)
+		return false, failure(key, outcome)
 	}
 	var present objects.Note
 	version, err := s.get(ctx, key, &present)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if version == 0 {
-		return failure(key, outcome)
+		return false, failure(key, outcome)
 	}
 	if !sameNote(&present.Content, note) {
-		return oops.Code(CodeNoteIDTaken).With("note", note.ID).
+		return false, oops.Code(CodeNoteIDTaken).With("note", note.ID).
 			Errorf("another note has the id %s", note.ID)
 	}
-	return nil
+	return false, nil
 }
 
 func sameNote(a, b *state.Note) bool {
@@ -74,11 +76,17 @@
 
 // submit tries once to make the note pending. After a lost answer the caller
 // tries again: the next read of the head shows whether the update took effect.
-func (s *Store) submit(ctx context.Context, note *state.Note, now time.Time) (bool, error) {
+// A note that was stored before and that the head does not name may have been
+// decided so long ago that its decision is no longer kept; with an old base it
+// is left alone, lest an accepted note be recorded as refused.
+func (s *Store) submit(ctx context.Context, note *state.Note, fresh bool, now time.Time) (bool, error) {
 	head, version, err := s.Head(ctx)
 	if err != nil {
 		return false, err
 	}
+	if !fresh && !head.Names(note.ID) && note.Base < head.Version {
+		return true, nil
+	}
 	next, changed := head.Submit(*note, now)
 	if !changed {
 		return true, nil
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -185,3 +185,17 @@
 	options.Hosts = nil
 	require.Equal(t, ExitUsage, NewCommand(options, nil, caller, &out, &complaints, time.Now).Run(t.Context()))
 }
+
+func TestANoteWhoseDecisionIsNoLongerKeptIsNotRefused(t *testing.T) {
+	platform := newFakePlatform()
+	file := noteFile(t, firstNote)
+	_, _, _ = run(t, platform, Options{Verb: VerbApply, File: file})
+	accept(t, platform)
+	head := headOf(t, platform)
+	head.Decided = nil
+	platform.set(objects.KeyHead, head)
+	code, out, _ := run(t, platform, Options{Verb: VerbApply, File: file})
+	require.Equal(t, ExitUnknown, code)
+	require.Contains(t, out, "decided long ago")
+	require.Empty(t, headOf(t, platform).Decided)
+}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -62,7 +62,7 @@
 
 func (s *Store) status(ctx context.Context, head objects.Head, note objects.Note) (NoteStatus, error) {
 	status := describe(head, note)
-	if status.State == objects.NoteRefused {
+	if status.State == objects.NoteRefused || status.State == StateUnknown {
 		return status, nil
 	}
 	staged, err := s.staged(ctx, note.ID)
@@ -103,7 +103,7 @@
 		return status
 	}
 	status.State = StateUnknown
-	status.Reason = "stored, but neither pending nor among the decisions kept; apply it again"
+	status.Reason = "stored, but neither pending nor among the decisions kept: it was decided long ago or never handed in"
 	return status
 }
 
--- a/internal/state/objects/head.go
+++ b/internal/state/objects/head.go
@@ -18,15 +18,18 @@
 	return Decision{}, false
 }
 
+// Names reports whether the note is pending or its decision is kept.
+func (h Head) Names(id state.NoteID) bool {
+	_, decided := h.Decision(id)
+	return decided || h.Pending != nil && h.Pending.Note.ID == id
+}
+
 // Submit returns the head after the note was handed in at the given time. The
 // note becomes pending, or is recorded as refused with the winner named when
 // another is pending or its base is not the newest release. A note that is
 // pending or decided already leaves the head as it is and changed is false.
 func (h Head) Submit(note state.Note, now time.Time) (next Head, changed bool) {
-	if _, decided := h.Decision(note.ID); decided {
-		return h, false
-	}
-	if h.Pending != nil && h.Pending.Note.ID == note.ID {
+	if h.Names(note.ID) {
 		return h, false
 	}
 	ref := NoteRef{ID: note.ID, Version: note.Base + 1}
