--- a/internal/transport/workers/bench_test.go
+++ b/internal/transport/workers/bench_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -19,9 +20,13 @@
 )
 
 const (
-	benchShards  = 4
-	benchFlows   = 4096
-	benchPayload = 512
+	benchShards = 4
+	benchFlows  = 4096
+	// manyFlows is the number of open flows that one host is to hold.
+	manyFlows = 500_000
+	// maxFlowMemory is the stated bound of the memory for them in bytes.
+	maxFlowMemory = manyFlows * 100
+	benchPayload  = 512
 	// benchBurst is the number of packets that wait in the socket at first.
 	benchBurst = 1024
 )
@@ -36,7 +41,7 @@
 	for i := range 14 {
 		service.Targets = append(service.Targets, state.Target{
 			ID: state.TargetID(rune('a' + i)), Number: state.TargetNumber(i + 2),
-			Address: target, Weight: 1, Slots: 3, Connections: benchFlows,
+			Address: target, Weight: 1, Slots: 3, Connections: manyFlows,
 		})
 	}
 	entry := lookup.Carry(nil, service, 1)
@@ -164,19 +169,25 @@
 	return &path{fabric: fabric, serve: serve, finish: func() {}}
 }
 
-// guavadPath is the packet path of guavad, with its hand-over to workers if
-// pooled, and with every flow already open.
-func (f *forwardBench) guavadPath(b *testing.B, pooled bool) *path {
-	fabric := benchListen(b)
+// newBenchEngines returns one engine for each shard.
+func newBenchEngines(maxRecords int) []Engine {
 	engines := make([]Engine, benchShards)
 	for i := range engines {
 		rng := rand.New(rand.NewPCG(1, uint64(i)))
-		engines[i] = traffic.NewEngine(traffic.Settings{MaxRecords: 2 * benchFlows}, rng)
+		engines[i] = traffic.NewEngine(traffic.Settings{MaxRecords: maxRecords}, rng)
 	}
+	return engines
+}
+
+// guavadPath is the packet path of guavad, with its hand-over to workers if
+// pooled, and with every flow already open.
+func (f *forwardBench) guavadPath(b *testing.B, pooled bool) *path {
+	fabric := benchListen(b)
 	clock := time.Now()
 	pool, err := New(Settings{
-		Fabric: fabric, Relay: benchListen(b), Return: f.sink.Address(), Engines: engines,
-		Now: func() time.Time { return clock },
+		Fabric: fabric, Relay: benchListen(b), Return: f.sink.Address(),
+		Engines: newBenchEngines(2 * benchFlows),
+		Now:     func() time.Time { return clock },
 	})
 	require.NoError(b, err)
 	pool.Publish(benchSnapshot(f.sink.Address()))
@@ -265,3 +276,42 @@
 		})
 	}
 }
+
+// TestMemoryOfManyFlows opens flows at all shards' engines.
+func TestMemoryOfManyFlows(t *testing.T) {
+	snapshot := benchSnapshot(netip.MustParseAddrPort("127.0.0.1:9"))
+	before := heapInUse()
+	engines := newBenchEngines(manyFlows / benchShards * 5 / 4)
+	now := time.Unix(1_700_000_000, 0)
+	for _, engine := range engines {
+		engine.Sweep(now, snapshot, SweepBudget)
+	}
+	now = now.Add(time.Minute)
+	for n := range manyFlows {
+		p := benchOpening(n)
+		engine := engines[p.Fingerprint.High%benchShards]
+		require.Equal(t, traffic.VerbForward, engine.Handle(now, snapshot, &p).Verb)
+	}
+	used := heapInUse() - before
+	t.Logf("%d bytes for %d flows", used, manyFlows)
+	require.LessOrEqual(t, used, uint64(maxFlowMemory))
+	runtime.KeepAlive(engines)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// benchOpening returns the opening of the n-th flow.
+func benchOpening(n int) traffic.Packet {
+	caller := netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)})
+	key := state.FlowKey{
+		Protocol: state.TCP,
+		Caller:   netip.AddrPortFrom(caller, 4000),
+		Service:  netip.MustParseAddrPort("198.51.100.1:443"),
+	}
+	return traffic.Packet{Key: key, Fingerprint: key.Fingerprint(), Kind: traffic.KindOpening, Size: 60}
+}
