--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -33,6 +33,10 @@
 	// reused holds the withdrawn targets whose address another service has now.
 	reused map[state.TargetNumber]bool
 
+	// searches counts the searches begun in the tick searchesAt.
+	searches   int
+	searchesAt tick
+
 	sweepAt  int
 	passOnAt int
 }
@@ -94,6 +98,8 @@
 	packet *Packet
 	routes *serviceRoutes
 	owners owners
+	// avoid is a target that must not have the flow; 0 for none.
+	avoid state.TargetNumber
 }
 
 // begin sets the time and takes up a new snapshot.
