--- a/internal/transport/workers/bench_test.go
+++ b/internal/transport/workers/bench_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -315,3 +316,36 @@
 	}
 	return traffic.Packet{Key: key, Fingerprint: key.Fingerprint(), Kind: traffic.KindOpening, Size: 60}
 }
+
+// Sizes of the planned system.
+const (
+	planHosts    = 5_200
+	planServices = 3_600
+)
+
+// planSnapshot returns a snapshot with the planned hosts and services.
+func planSnapshot() *state.Snapshot {
+	snapshot := &state.Snapshot{Version: 1, Services: make(map[state.ServiceAddress]*state.ServiceEntry)}
+	for i := range planHosts {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 6081)
+		host := state.Host{ID: state.HostID(fmt.Sprint("host-", i)), Relay: address}
+		snapshot.View.Members = append(snapshot.View.Members, state.Member{Host: host})
+	}
+	for i := range planServices {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(i >> 8), byte(i)}), 443)
+		key := state.ServiceAddress{Protocol: state.TCP, Address: address}
+		snapshot.Services[key] = &state.ServiceEntry{}
+	}
+	return snapshot
+}
+
+// BenchmarkPublish is the work of a snapshot that changes health alone.
+func BenchmarkPublish(b *testing.B) {
+	snapshot := planSnapshot()
+	p := new(Pool)
+	p.routes.Store(new(Routes).next(snapshot))
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Publish(snapshot)
+	}
+}
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -100,7 +100,7 @@
 	}
 	p := &Pool{settings: settings, workers: workers, launch: workers.Submit, stop: make(chan struct{})}
 	p.jobs.New = func() any { return new(Job) }
-	p.routes.Store(NewRoutes(&state.Snapshot{}))
+	p.routes.Store(new(Routes).next(&state.Snapshot{}))
 	for _, engine := range settings.Engines {
 		s, err := newShard(p, engine)
 		if err != nil {
@@ -128,9 +128,10 @@
 	p.running.Go(p.sweep)
 }
 
-// Publish makes a snapshot the one that workers use from now on.
+// Publish makes a snapshot the one that workers use from now on. One goroutine
+// at a time may call it.
 func (p *Pool) Publish(snapshot *state.Snapshot) {
-	p.routes.Store(NewRoutes(snapshot))
+	p.routes.Store(p.routes.Load().next(snapshot))
 }
 
 // PassOn starts to pass on all records, once; Settings.PassedOn follows.
--- a/internal/transport/workers/pool_test.go
+++ b/internal/transport/workers/pool_test.go
@@ -20,6 +20,8 @@
 
 const (
 	peerID state.HostID = "b1"
+	// serviceNumber is the service of the opening.
+	serviceNumber state.ServiceNumber = 7
 	// portions is how many calls of PassOn the engine needs.
 	portions = 3
 )
@@ -92,7 +94,13 @@
 	})
 	require.NoError(t, err)
 	peer := state.Host{ID: peerID, Relay: b.peer.Address()}
-	b.pool.Publish(&state.Snapshot{View: state.View{Members: []state.Member{{Host: peer}}}})
+	address := state.ServiceAddress{Protocol: state.TCP, Address: netip.MustParseAddrPort("198.51.100.1:443")}
+	b.pool.Publish(&state.Snapshot{
+		Services: map[state.ServiceAddress]*state.ServiceEntry{
+			address: {Service: state.Service{Number: serviceNumber}},
+		},
+		View: state.View{Members: []state.Member{{Host: peer}}},
+	})
 	b.pool.Start()
 	t.Cleanup(b.pool.Close)
 	return b
@@ -164,7 +172,7 @@
 }
 
 func TestRelayedPacketsCarryTheHeader(t *testing.T) {
-	header := relay.Header{Kind: relay.KindPacket, Hops: 1, Service: 7}
+	header := relay.Header{Kind: relay.KindPacket, Hops: 1, Service: serviceNumber}
 	b := newBench(t, func(*traffic.Packet) traffic.Decision {
 		return traffic.Decision{Verb: traffic.VerbRelay, To: peerID, Header: header}
 	})
@@ -176,7 +184,7 @@
 }
 
 func TestRelayedPacketsReachTheEngineWithTheirHeader(t *testing.T) {
-	header := relay.Header{Kind: relay.KindPacket, Hops: relay.MaxHops, Service: 7}
+	header := relay.Header{Kind: relay.KindPacket, Hops: relay.MaxHops, Service: serviceNumber}
 	seen := make(chan traffic.Packet, 1)
 	b := newBench(t, func(p *traffic.Packet) traffic.Decision {
 		seen <- *p
@@ -206,6 +214,7 @@
 	require.True(t, ok)
 	require.Equal(t, time.Second, refusal.RetryAfter)
 	require.Equal(t, uint16(40000), refusal.Key.Caller.Port())
+	require.Equal(t, int64(1), b.pool.Refused(serviceNumber))
 }
 
 func TestBadDatagramsAreCountedAndTheNextOneIsServed(t *testing.T) {
--- a/internal/transport/workers/routes.go
+++ b/internal/transport/workers/routes.go
@@ -27,28 +27,41 @@
 // recordLane is where record messages wait. No customer can have its name.
 var recordLane = lane{customer: "record messages", weight: 8}
 
-// NewRoutes indexes a snapshot.
-func NewRoutes(snapshot *state.Snapshot) *Routes {
-	r := &Routes{
-		Snapshot: snapshot,
-		relays:   make(map[state.HostID]netip.AddrPort),
-		members:  make(map[netip.AddrPort]state.HostID),
-		lanes:    make(map[state.ServiceAddress]lane),
+// next indexes the snapshot after the one of r. It takes over what has not
+// changed: hosts with the view's epoch, lanes with the release's version.
+func (r *Routes) next(snapshot *state.Snapshot) *Routes {
+	routes := &Routes{Snapshot: snapshot, relays: r.relays, members: r.members, lanes: r.lanes}
+	before := r.Snapshot
+	if before == nil || before.View.Epoch != snapshot.View.Epoch || len(before.View.Members) != len(snapshot.View.Members) {
+		routes.indexHosts()
 	}
-	for _, member := range snapshot.View.Members {
+	if before == nil || before.Version != snapshot.Version {
+		routes.indexLanes()
+	}
+	return routes
+}
+
+func (r *Routes) indexHosts() {
+	members := r.Snapshot.View.Members
+	r.relays = make(map[state.HostID]netip.AddrPort, len(members))
+	r.members = make(map[netip.AddrPort]state.HostID, len(members))
+	for _, member := range members {
 		r.relays[member.ID] = member.Relay
-		if member.ID != snapshot.Self.ID {
+		if member.ID != r.Snapshot.Self.ID {
 			r.members[member.Relay] = member.ID
 		}
 	}
-	weights := make(map[state.CustomerID]uint32)
-	for _, customer := range snapshot.Customers {
+}
+
+func (r *Routes) indexLanes() {
+	weights := make(map[state.CustomerID]uint32, len(r.Snapshot.Customers))
+	for _, customer := range r.Snapshot.Customers {
 		weights[customer.ID] = customer.Weight
 	}
-	for address, service := range snapshot.Services {
+	r.lanes = make(map[state.ServiceAddress]lane, len(r.Snapshot.Services))
+	for address, service := range r.Snapshot.Services {
 		r.lanes[address] = lane{service.Customer, weights[service.Customer]}
 	}
-	return r
 }
 
 // lane returns where the packet of a job waits. Packets for no service share
