Judge targets in turns, so that the cost is bounded

Ruled out: a longer interval, which would slow today's sizes too. Change: at most about 4,000 targets are judged a second, services in turn; a changed drain signal is still taken in at once, for its own service alone. Conclusion: up to 4,000 targets nothing changes; at 27,000 a service is judged every 7 seconds.

--- a/internal/coordination/control/judge.go
+++ b/internal/coordination/control/judge.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/health"
@@ -9,8 +11,13 @@
 	"github.com/guavawharf/guavawharf/internal/state/lookup"
 )
 
-// judgeInterval is the time between two judgements of the targets.
-const judgeInterval = time.Second
+const (
+	// judgeInterval is the time between two judgements.
+	judgeInterval = time.Second
+	// judgeBudget is about how many targets are judged at a time. A larger
+	// release is judged in turns, so that the cost does not grow with it.
+	judgeBudget = 4000
+)
 
 // judge keeps the health of the targets.
 type judge struct {
@@ -19,13 +26,17 @@
 	// revision is the revision of the load list taken in last.
 	revision uint64
 	judged   time.Time
-	// due asks for a judgement before judgeInterval has passed.
+	budget   int
+	// round holds the services still to be judged in this turn.
+	round []state.ServiceID
+	// due asks to take in drain signals before judgeInterval has passed.
 	due bool
 }
 
 func newJudge() judge {
 	return judge{
 		tracker:  health.New(health.Settings{}),
+		budget:   judgeBudget,
 		verdicts: make(map[state.TargetNumber]lookup.Health),
 	}
 }
@@ -56,23 +67,67 @@
 	j.due = true
 }
 
-// apply judges the targets when it is time and reports whether an entry changed.
+// apply judges the targets whose turn it is and those with a new drain signal.
+// It reports whether an entry changed.
 func (j *judge) apply(now time.Time, entries map[state.ServiceID]*state.ServiceEntry) bool {
-	if !j.due && now.Sub(j.judged) < judgeInterval {
-		return false
+	changed := false
+	if j.due {
+		j.due = false
+		changed = j.applyDrains(now, entries)
+	}
+	if now.Sub(j.judged) >= judgeInterval {
+		j.judged = now
+		changed = j.applyTurn(now, entries) || changed
 	}
-	j.due = false
-	j.judged = now
+	return changed
+}
+
+// applyDrains judges the services whose drain signals changed.
+func (j *judge) applyDrains(now time.Time, entries map[state.ServiceID]*state.ServiceEntry) bool {
 	changed := false
 	for id, entry := range entries {
-		j.judgeEntry(now, entry)
-		next := j.dress(entry)
-		changed = changed || next != entry
-		entries[id] = next
+		if j.drainChanged(entry) {
+			changed = j.judgeService(now, id, entries) || changed
+		}
+	}
+	return changed
+}
+
+func (j *judge) drainChanged(entry *state.ServiceEntry) bool {
+	for _, target := range entry.Entries {
+		if j.tracker.Draining(target.ID) != j.verdicts[target.Number].Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// applyTurn judges services in turn until the budget is spent.
+func (j *judge) applyTurn(now time.Time, entries map[state.ServiceID]*state.ServiceEntry) bool {
+	if len(j.round) == 0 {
+		j.round = slices.Sorted(maps.Keys(entries))
+	}
+	changed := false
+	for left := j.budget; left > 0 && len(j.round) > 0; {
+		id := j.round[0]
+		j.round = j.round[1:]
+		if entries[id] == nil {
+			continue
+		}
+		left -= len(entries[id].Entries)
+		changed = j.judgeService(now, id, entries) || changed
 	}
 	return changed
 }
 
+// judgeService replaces the entry of a service if a verdict on it changed.
+func (j *judge) judgeService(now time.Time, id state.ServiceID, entries map[state.ServiceID]*state.ServiceEntry) bool {
+	entry := entries[id]
+	j.judgeEntry(now, entry)
+	entries[id] = j.dress(entry)
+	return entries[id] != entry
+}
+
 func (j *judge) judgeEntry(now time.Time, entry *state.ServiceEntry) {
 	for _, verdict := range j.tracker.Verdicts(now, entry.Entries) {
 		j.verdicts[verdict.Number] = lookup.Health{
--- a/internal/coordination/control/judge_test.go
+++ b/internal/coordination/control/judge_test.go
@@ -78,3 +78,32 @@
 	p, input := judged(now)
 	require.Nil(t, p.next(now.Add(time.Hour/2), input))
 }
+
+func TestEveryServiceHasItsTurn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPublisher(state.Host{ID: "a1", Domain: "a"})
+	p.judge.budget = 1
+	release := &state.Release{Version: 1}
+	for n := range 3 {
+		number := state.TargetNumber(10 * (n + 1))
+		release.Services = append(release.Services, state.Service{
+			ID:     state.ServiceID(rune('a' + n)),
+			Number: state.ServiceNumber(n + 1),
+			Targets: []state.Target{
+				{ID: state.TargetID(rune('a' + n)), Number: number, Domain: "a", Weight: 1},
+				{ID: state.TargetID(rune('k' + n)), Number: number + 1, Domain: "a", Weight: 1},
+			},
+		})
+	}
+	input := publishInput{release: release, ready: true}
+	p.next(now, input)
+	for range 3 {
+		now = now.Add(judgeInterval)
+		p.next(now, input)
+	}
+	require.Len(t, p.judge.verdicts, 6)
+	require.Empty(t, p.judge.round)
+	now = now.Add(judgeInterval)
+	p.next(now, input)
+	require.Len(t, p.judge.round, 2)
+}
--- a/internal/coordination/health/tracker.go
+++ b/internal/coordination/health/tracker.go
@@ -71,6 +71,12 @@
 	t.dropAbsent(now, list)
 }
 
+// Draining returns a target's own drain signal.
+func (t *Tracker) Draining(id state.TargetID) bool {
+	known, ok := t.reports[id]
+	return ok && known.draining
+}
+
 // dropAbsent forgets old reports of targets that the list lacks.
 func (t *Tracker) dropAbsent(now time.Time, list objects.LoadList) {
 	listed := make(map[state.TargetID]bool, len(list.Loads))
