--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -131,7 +131,7 @@
 // hasRoom reports whether a target may have a new flow within this owner's part
 // of its connection limit.
 func (e *Engine) hasRoom(f *flow, t *state.TargetEntry) bool {
-	return usable(t) && e.belowLimit(f, t)
+	return usable(t) && t.Number != f.avoid && e.belowLimit(f, t)
 }
 
 // belowLimit reports whether a target is below this owner's part of its
@@ -182,7 +182,7 @@
 	if f.routes.entry.Way == state.WayContested {
 		return e.snap.Targets[table.Lookup(f.packet.Fingerprint.Low)]
 	}
-	home := f.routes.placeDomain(f.packet.Fingerprint)
+	home := f.routes.usualDomain(f.packet.Fingerprint)
 	var any *state.TargetEntry
 	for i := uint64(0); i < maxProbes; i++ {
 		t := e.snap.Targets[table.Lookup(probe(f.packet.Fingerprint, i))]
