--- a/internal/standin/slopes/fleet.go
+++ b/internal/standin/slopes/fleet.go
@@ -45,6 +45,8 @@
 	snapshot *state.Snapshot
 	// longest is the longest step of the core in processor time.
 	longest time.Duration
+	// bytes is the size of the host's calls and of the answers to them.
+	bytes int64
 }
 
 // delivery is an event on its way to a host.
@@ -175,6 +177,7 @@
 	f.counts.coding += threadTime() - began
 	f.counts.messages++
 	f.counts.bytes += int64(size) + segmentOverhead
+	from.bytes += int64(size) + segmentOverhead
 	event := control.MessageReceived{From: envelope.From, Message: envelope.Message.(messageType)}
 	f.queued = append(f.queued, delivery{to: to, event: event})
 }
@@ -230,3 +233,30 @@
 		panic(err)
 	}
 }
+
+// resetCounts begins the counting anew.
+func (f *fleet) resetCounts() {
+	f.counts = fleetCounts{}
+	for _, h := range f.hosts {
+		h.bytes = 0
+		h.longest = 0
+	}
+}
+
+// busiest returns the most bytes of any host.
+func (f *fleet) busiest() int64 {
+	most := int64(0)
+	for _, h := range f.hosts {
+		most = max(most, h.bytes)
+	}
+	return most
+}
+
+// longestStep returns the longest step of any host.
+func (f *fleet) longestStep() time.Duration {
+	longest := time.Duration(0)
+	for _, h := range f.hosts {
+		longest = max(longest, h.longest)
+	}
+	return longest
+}
--- a/internal/standin/slopes/hosts.go
+++ b/internal/standin/slopes/hosts.go
@@ -41,7 +41,7 @@
 		return nil, fmt.Errorf("%w: %d domains of %d hosts", errNotSettled, domains, hosts)
 	}
 	settling := f.now.Sub(virtualStart)
-	f.counts = fleetCounts{}
+	f.resetCounts()
 	began := processTime()
 	f.run(watchTime)
 	all := processTime() - began
@@ -51,6 +51,7 @@
 	return []Metric{
 		{"messages_a_host", "1/s", float64(f.counts.messages) / perHost},
 		{"bytes_a_host", "bytes/s", float64(f.counts.bytes) / perHost},
+		{"bytes_busiest_host", "bytes/s", float64(f.busiest()) / watchTime.Seconds()},
 		{"core_share_a_host", "cores", (f.counts.stepping + f.counts.coding).Seconds() / perHost},
 		{"whole_process_a_host", "cores", all.Seconds() / perHost},
 		{"stepping_share_a_host", "cores", f.counts.stepping.Seconds() / perHost},
--- a/internal/standin/slopes/judged.go
+++ b/internal/standin/slopes/judged.go
@@ -31,8 +31,7 @@
 	}
 	memory := heapBytes() - before
 	h := f.hosts[0]
-	h.longest = 0
-	f.counts = fleetCounts{}
+	f.resetCounts()
 	for range judgedSeconds {
 		f.handle(h, reportOn(h.snapshot))
 		f.run(second)
--- a/internal/standin/slopes/releases.go
+++ b/internal/standin/slopes/releases.go
@@ -30,7 +30,7 @@
 		return nil, err
 	}
 	times := hdrhistogram.New(1, maxReleaseMicros, significantDigits)
-	f.counts = fleetCounts{}
+	f.resetCounts()
 	began := f.now
 	for i := range x * releaseMinutes {
 		due := began.Add(time.Duration(i) * time.Minute / time.Duration(x))
@@ -48,18 +48,15 @@
 		f.run(rest)
 	}
 	elapsed := f.now.Sub(began).Seconds()
-	longest := time.Duration(0)
-	for _, h := range f.hosts {
-		longest = max(longest, h.longest)
-	}
 	perHost := float64(len(f.hosts)) * elapsed
 	return []Metric{
 		{"in_force_p50", "s", float64(times.ValueAtQuantile(50)) / 1e6},
 		{"in_force_max", "s", float64(times.Max()) / 1e6},
 		{"platform_calls_all", "1/s", float64(f.counts.calls) / elapsed},
 		{"platform_writes_all", "1/s", float64(f.counts.writes) / elapsed},
-		{"longest_step", "s", longest.Seconds()},
+		{"longest_step", "s", f.longestStep().Seconds()},
 		{"bytes_a_host", "bytes/s", float64(f.counts.bytes) / perHost},
+		{"bytes_busiest_host", "bytes/s", float64(f.busiest()) / elapsed},
 		{"core_share_a_host", "cores", (f.counts.stepping + f.counts.coding).Seconds() / perHost},
 	}, nil
 }
