--- a/internal/protocol/settings/docs_test.go
+++ b/internal/protocol/settings/docs_test.go
@@ -51,6 +51,7 @@
 		"platform.timeout":  settings.Platform.Timeout.String(),
 		"traffic.workers":   fmt.Sprint(settings.Traffic.Workers),
 		"traffic.max_flows": fmt.Sprint(settings.Traffic.MaxFlows),
+		"traffic.new_flows": fmt.Sprint(settings.Traffic.NewFlows),
 		"leave.deadline":    settings.LeaveDeadline.String(),
 		"log.level":         strings.ToLower(settings.LogLevel.String()),
 	}
--- a/internal/protocol/settings/parse.go
+++ b/internal/protocol/settings/parse.go
@@ -69,6 +69,7 @@
 	return Traffic{
 		Workers:  int(table.Integer("workers", DefaultWorkers, minWorkers, maxWorkers)),
 		MaxFlows: int(table.Integer("max_flows", DefaultMaxFlows, minMaxFlows, maxMaxFlows)),
+		NewFlows: int(table.Integer("new_flows", DefaultNewFlows, minNewFlows, maxNewFlows)),
 	}
 }
 
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -44,4 +44,6 @@
 	Workers int
 	// MaxFlows is the largest number of flow records of the whole host.
 	MaxFlows int
+	// NewFlows is the number of new flows a second of the whole host.
+	NewFlows int
 }
