--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -33,9 +33,10 @@
 // mayOpen reports whether a packet kind may start a flow.
 func mayOpen(kind PacketKind) bool { return kind == KindOpening || kind == KindDatagram }
 
-// withoutRecord opens a flow, or searches for the flow's record.
+// withoutRecord opens a flow, or searches for the record of one that is open.
 func (e *Engine) withoutRecord(f *flow) Decision {
-	if !mayOpen(f.packet.Kind) {
+	judged := f.packet.Relayed && f.packet.Relay.Verdict == relay.VerdictForward
+	if judged || !mayOpen(f.packet.Kind) {
 		return e.search(f)
 	}
 	first := f.owners.first
