Bound the new flows a second of a host by its settings

Cause: the engine shares new flows by max-min only under a bound, and the daemon gave it none, so that one customer's burst could take all of a host. Change: traffic.max_new_flows, described, documented and given to the engines. Conclusion: settings, their page and the daemon's tests pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,7 +82,10 @@
 	perEngine := (s.MaxFlows + s.Workers - 1) / s.Workers
 	for i := range engines {
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		engines[i] = traffic.NewEngine(traffic.Settings{MaxRecords: perEngine}, rng)
+		engines[i] = traffic.NewEngine(traffic.Settings{
+			MaxRecords:  perEngine,
+			NewFlowRate: float64(s.MaxNewFlows) / float64(s.Workers),
+		}, rng)
 	}
 	return engines
 }
--- a/internal/protocol/settings/describe.go
+++ b/internal/protocol/settings/describe.go
@@ -10,6 +10,7 @@
 	DefaultPlatformTimeout = 2 * time.Second
 	DefaultWorkers         = 4
 	DefaultMaxFlows        = 500_000
+	DefaultMaxNewFlows     = 20_000
 	DefaultLeaveDeadline   = 30 * time.Second
 	DefaultLogLevel        = "info"
 )
@@ -22,6 +23,8 @@
 	maxWorkers         = 256
 	minMaxFlows        = 1_000
 	maxMaxFlows        = 10_000_000
+	minMaxNewFlows     = 100
+	maxMaxNewFlows     = 1_000_000
 	minLeaveDeadline   = time.Second
 	maxLeaveDeadline   = 10 * time.Minute
 )
@@ -50,6 +53,8 @@
 	formDuration = "duration"
 	formCount    = "count"
 
+	formPerSecond = "count a second"
+
 	rangeName    = "1 to 63 letters, digits, `-`, `_` or `.`"
 	rangeAddress = "a numeric IP address that is not unspecified, with a port from 1 to 65535"
 )
@@ -67,6 +72,7 @@
 	return append(keys,
 		Key{"traffic.workers", formCount, fmt.Sprint(DefaultWorkers), span(minWorkers, maxWorkers), "Number of shards of the packet path; each runs on one worker at a time."},
 		Key{"traffic.max_flows", formCount, fmt.Sprint(DefaultMaxFlows), span(minMaxFlows, maxMaxFlows), "Largest number of flow records on this host; new flows above it are refused."},
+		Key{"traffic.max_new_flows", formPerSecond, fmt.Sprint(DefaultMaxNewFlows), span(minMaxNewFlows, maxMaxNewFlows), "Most new flows a second that this host places, shared among customers; others are refused."},
 		Key{"leave.deadline", formDuration, DefaultLeaveDeadline.String(), span(minLeaveDeadline, maxLeaveDeadline), "Longest time that a graceful shutdown may take."},
 		Key{"log.level", "level", DefaultLogLevel, "debug, info, warn or error", "Lowest level that is logged."},
 	)
--- a/internal/protocol/settings/docs_test.go
+++ b/internal/protocol/settings/docs_test.go
@@ -48,11 +48,12 @@
 	settings, issues := Parse([]byte(required))
 	require.Empty(t, issues)
 	got := map[string]string{
-		"platform.timeout":  settings.Platform.Timeout.String(),
-		"traffic.workers":   fmt.Sprint(settings.Traffic.Workers),
-		"traffic.max_flows": fmt.Sprint(settings.Traffic.MaxFlows),
-		"leave.deadline":    settings.LeaveDeadline.String(),
-		"log.level":         strings.ToLower(settings.LogLevel.String()),
+		"platform.timeout":      settings.Platform.Timeout.String(),
+		"traffic.workers":       fmt.Sprint(settings.Traffic.Workers),
+		"traffic.max_flows":     fmt.Sprint(settings.Traffic.MaxFlows),
+		"traffic.max_new_flows": fmt.Sprint(settings.Traffic.MaxNewFlows),
+		"leave.deadline":        settings.LeaveDeadline.String(),
+		"log.level":             strings.ToLower(settings.LogLevel.String()),
 	}
 	want := make(map[string]string)
 	for _, key := range Describe() {
--- a/internal/protocol/settings/parse.go
+++ b/internal/protocol/settings/parse.go
@@ -67,8 +67,9 @@
 
 func readTraffic(table *tomldoc.Table) Traffic {
 	return Traffic{
-		Workers:  int(table.Integer("workers", DefaultWorkers, minWorkers, maxWorkers)),
-		MaxFlows: int(table.Integer("max_flows", DefaultMaxFlows, minMaxFlows, maxMaxFlows)),
+		Workers:     int(table.Integer("workers", DefaultWorkers, minWorkers, maxWorkers)),
+		MaxFlows:    int(table.Integer("max_flows", DefaultMaxFlows, minMaxFlows, maxMaxFlows)),
+		MaxNewFlows: int(table.Integer("max_new_flows", DefaultMaxNewFlows, minMaxNewFlows, maxMaxNewFlows)),
 	}
 }
 
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -44,4 +44,6 @@
 	Workers int
 	// MaxFlows is the largest number of flow records of the whole host.
 	MaxFlows int
+	// MaxNewFlows is the most new flows a second that the whole host places.
+	MaxNewFlows int
 }
--- a/internal/protocol/settings/settings_test.go
+++ b/internal/protocol/settings/settings_test.go
@@ -52,7 +52,7 @@
 	require.Equal(t, Platform{URL: "http://127.0.0.1:8080", Timeout: time.Second}, settings.Platform)
 	require.Len(t, settings.Seeds, 1)
 	require.Equal(t, "b1", string(settings.Seeds[0].ID))
-	require.Equal(t, Traffic{Workers: DefaultWorkers, MaxFlows: DefaultMaxFlows}, settings.Traffic)
+	require.Equal(t, Traffic{Workers: DefaultWorkers, MaxFlows: DefaultMaxFlows, MaxNewFlows: DefaultMaxNewFlows}, settings.Traffic)
 	require.Equal(t, DefaultLeaveDeadline, settings.LeaveDeadline)
 	require.Equal(t, slog.LevelWarn, settings.LogLevel)
 }
