--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,7 +84,7 @@
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		engines[i] = traffic.NewEngine(traffic.Settings{
 			MaxRecords:  perEngine,
-			NewFlowRate: float64(s.NewFlows) / float64(s.Workers),
+			NewFlowRate: float64(s.MaxNewFlows) / float64(s.Workers),
 		}, rng)
 	}
 	return engines
--- a/internal/protocol/settings/parse.go
+++ b/internal/protocol/settings/parse.go
@@ -67,9 +67,9 @@
 
 func readTraffic(table *tomldoc.Table) Traffic {
 	return Traffic{
-		Workers:  int(table.Integer("workers", DefaultWorkers, minWorkers, maxWorkers)),
-		MaxFlows: int(table.Integer("max_flows", DefaultMaxFlows, minMaxFlows, maxMaxFlows)),
-		NewFlows: int(table.Integer("new_flows", DefaultNewFlows, minNewFlows, maxNewFlows)),
+		Workers:     int(table.Integer("workers", DefaultWorkers, minWorkers, maxWorkers)),
+		MaxFlows:    int(table.Integer("max_flows", DefaultMaxFlows, minMaxFlows, maxMaxFlows)),
+		MaxNewFlows: int(table.Integer("max_new_flows", DefaultMaxNewFlows, minMaxNewFlows, maxMaxNewFlows)),
 	}
 }
 
