--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -81,6 +81,9 @@
 	if target == nil {
 		return e.search(f)
 	}
+	if e.openedBeyondCut(f, r) {
+		return drop(ReasonCutOff)
+	}
 	if e.moves(f, r, target) {
 		return e.move(f, r, target)
 	}
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -180,3 +180,14 @@
 	}
 	return e.now.Sub(e.view.domainLost) < wait
 }
+
+// openedBeyondCut reports whether a flow may have been opened by hosts that are
+// cut off: its opening went to an owner that is gone since, a domain vanished,
+// and this is the first packet in mid-flow. The record here then names a target
+// that perhaps never saw the flow.
+func (e *Engine) openedBeyondCut(f *flow, r *record) bool {
+	if f.packet.Kind != KindData || r.phase != phaseOpening || !r.has(flagTentative) {
+		return false
+	}
+	return r.pair != f.owners.signature() && e.now.Sub(e.view.domainLost) < e.settings.CutOff
+}
--- a/internal/coordination/traffic/sweep.go
+++ b/internal/coordination/traffic/sweep.go
@@ -54,7 +54,8 @@
 }
 
 // copyToPair adds copies of a record for its owner pair if the pair changed
-// since the last copies or always is set.
+// since the last copies or always is set. An opening that no packet in mid-flow
+// has proved is copied by its own packets.
 func (e *Engine) copyToPair(notices []Notice, r *record, always bool) []Notice {
 	entry := e.service(r.service)
 	if entry == nil {
@@ -65,7 +66,8 @@
 		return notices
 	}
 	signature := o.signature()
-	if r.pair == signature && !always {
+	unproved := r.phase == phaseOpening && r.has(flagTentative)
+	if !always && (r.pair == signature || unproved) {
 		return notices
 	}
 	r.pair = signature
