Read every write back whose answer was lost

All writes of the system are conditional, so that reading back is right for each; a caller no longer has to choose. Read-backs draw on the retry budget.

--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -46,12 +46,24 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Do runs one call. Reads, and writes that certainly did not reach the platform,
-// are repeated within the retry budget; a write whose answer was lost is not,
-// and ends as ResultUnknown: see DoIdempotent.
+// are repeated within the retry budget. A write whose answer was lost is read
+// back: found in place it is ResultOK; found not to have run it is repeated under
+// its condition; one that can't be told apart stays ResultUnknown, with the
+// current object if it could be read.
 func (c *Client) Do(ctx context.Context, call objects.Call) objects.Outcome {
 	if len(call.Value) > objects.MaxValueSize {
 		return c.refuse(causeTooLarge, 0)
 	}
+	outcome := c.run(ctx, call)
+	if call.Verb == objects.VerbPut && outcome.Result == objects.ResultUnknown {
+		return c.readBack(ctx, call, outcome)
+	}
+	return outcome
+}
+
+// run makes the attempts of one call until it is answered, may have run or there
+// is no more to spend.
+func (c *Client) run(ctx context.Context, call objects.Call) objects.Outcome {
 	delays := c.newBackOff()
 	for attempt := 1; ; attempt++ {
 		a := c.attempt(ctx, call)
@@ -61,8 +73,7 @@
 		if attempt >= c.settings.MaxAttempts || ctx.Err() != nil {
 			return c.conclude(call, a)
 		}
-		if !c.budget.Allow() {
-			c.counters.Add(CountRefused+string(causeBudget), 1)
+		if !c.mayRetry() {
 			return c.conclude(call, a)
 		}
 		if !sleep(ctx, delays.NextBackOff()) {
@@ -72,6 +83,15 @@
 	}
 }
 
+// mayRetry draws on the retry budget.
+func (c *Client) mayRetry() bool {
+	if c.budget.Allow() {
+		return true
+	}
+	c.counters.Add(CountRefused+string(causeBudget), 1)
+	return false
+}
+
 // attempt sends the call once, if the circuit and the platform's own hold-off
 // let it through.
 func (c *Client) attempt(ctx context.Context, call objects.Call) attempt {
--- a/internal/transport/platform/counters.go
+++ b/internal/transport/platform/counters.go
@@ -39,5 +39,4 @@
 	causeInvalid     cause = "invalid"
 	causeTooLarge    cause = "too_large"
 	causeCancelled   cause = "cancelled"
-	causeWatch       cause = "watch"
 )
--- a/internal/transport/platform/idempotent.go
+++ b/internal/transport/platform/readback.go
@@ -8,17 +8,14 @@
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
-// DoIdempotent is Do for conditional writes: after a lost answer it reads the
-// object back. A write found in place is ResultOK; one found not to have run is
-// repeated under its condition; one that can't be told apart stays
-// ResultUnknown, with the current object if it could be read.
-func (c *Client) DoIdempotent(ctx context.Context, call objects.Call) objects.Outcome {
-	outcome := c.Do(ctx, call)
-	if call.Verb != objects.VerbPut {
-		return outcome
-	}
+// readBack finds out what became of a write whose answer was lost, and repeats
+// it while it has not run.
+func (c *Client) readBack(ctx context.Context, call objects.Call, outcome objects.Outcome) objects.Outcome {
 	for attempt := 1; outcome.Result == objects.ResultUnknown && attempt < c.settings.MaxAttempts; attempt++ {
-		current := c.Do(ctx, objects.Call{Verb: objects.VerbGet, Key: call.Key})
+		if !c.mayRetry() {
+			return outcome
+		}
+		current := c.run(ctx, objects.Call{Verb: objects.VerbGet, Key: call.Key})
 		found := compareWritten(call, current)
 		c.counters.Add(CountReadBack+string(found), 1)
 		switch found {
@@ -37,7 +34,7 @@
 // repeat sends the write again. A failed condition may now be due to the first
 // attempt arriving late.
 func (c *Client) repeat(ctx context.Context, call objects.Call) objects.Outcome {
-	outcome := c.Do(ctx, call)
+	outcome := c.run(ctx, call)
 	if outcome.Result != objects.ResultConflict {
 		return outcome
 	}
