Tell the others when a leaving host stops

A host that had left was found out by probes, 2 to 3 s later, and packets in search of a record were relayed to it until then. It now says that it is gone as it stops, and the peers' queues are flushed at the end, within the call timeout. Tried first when the records were passed on, 2 s before the stop: the fault matrix then caught a domain reported in force while the lingering host still had the older release; reverted to the stop itself.

Read-back also compares JSON by value, whatever form the platform stores.

--- a/internal/coordination/control/leave.go
+++ b/internal/coordination/control/leave.go
@@ -56,18 +56,19 @@
 	waited := now.Sub(c.leave.since)
 	switch {
 	case now.After(c.leave.deadline):
-		c.stop("deadline passed")
+		c.stop(now, "deadline passed")
 	case c.leave.stage == announced && waited >= LeaveAnnounceTime:
 		c.leave.stage = passingOn
 		c.leave.since = now
 		c.actions = append(c.actions, PassRecordsOn{})
 	case c.leave.stage == lingering && waited >= LeaveLinger:
-		c.stop("records passed on")
+		c.stop(now, "records passed on")
 	}
 }
 
-func (c *Control) stop(detail string) {
+func (c *Control) stop(now time.Time, detail string) {
 	c.leave.stage = gone
+	c.send(c.members.Depart(now))
 	c.log("leave_complete", detail)
 	c.actions = append(c.actions, Stop{})
 }
--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -8,9 +8,13 @@
 
 // hear takes in the gossip of a message.
 func (m *Machine) hear(from state.Host, g Gossip) {
+	status := state.HostAlive
+	if g.Gone {
+		status = state.HostDead
+	}
 	m.apply(from, Entry{
 		Host:        from,
-		Status:      state.HostAlive,
+		Status:      status,
 		Leaving:     g.Leaving,
 		Incarnation: g.Incarnation,
 		Version:     g.Version,
@@ -71,7 +75,7 @@
 
 // refute answers a belief about this host that is newer than its own.
 func (m *Machine) refute(e Entry) {
-	if e.Incarnation < m.incarnation {
+	if e.Incarnation < m.incarnation || m.gone {
 		return
 	}
 	moved := e.Host.Control.IsValid() && e.Host != m.self
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -48,6 +48,7 @@
 	g := Gossip{
 		Incarnation: m.incarnation,
 		Leaving:     m.leaving,
+		Gone:        m.gone,
 		Version:     m.version,
 	}
 	g.Entries = m.aboutReceiver(g.Entries, to.ID)
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -24,6 +24,7 @@
 	self        state.Host
 	incarnation uint64
 	leaving     bool
+	gone        bool
 	version     state.ReleaseVersion
 	rng         *rand.Rand
 	now         time.Time
@@ -72,6 +73,9 @@
 // Tick lets time pass; it is called at least every ProbeTimeout.
 func (m *Machine) Tick(now time.Time) []message.Outgoing {
 	m.advance(now)
+	if m.gone {
+		return nil
+	}
 	m.checkProbes()
 	m.checkSuspicions()
 	m.probeSuspects()
@@ -153,6 +157,21 @@
 	return m.flush()
 }
 
+// Depart tells that this host has left: the others take it for dead at once
+// instead of finding out by probes. It only answers from now on.
+func (m *Machine) Depart(now time.Time) []message.Outgoing {
+	m.advance(now)
+	if m.gone {
+		return nil
+	}
+	m.leaving = true
+	m.gone = true
+	for _, k := range m.announcees() {
+		m.send(k, Ack{Gossip: m.gossipFor(k)})
+	}
+	return m.flush()
+}
+
 // announcees picks hosts to tell at once: some of this domain and one of each
 // other domain.
 func (m *Machine) announcees() []state.Host {
--- a/internal/coordination/membership/machine_test.go
+++ b/internal/coordination/membership/machine_test.go
@@ -124,6 +124,26 @@
 	})
 }
 
+func TestDepartedHostLeavesEveryViewAtOnce(t *testing.T) {
+	for _, leaver := range []state.HostID{"host-2-001", "host-4-000"} {
+		overSeeds(t, func(t *testing.T, l *link) {
+			n := l.node(leaver)
+			l.post(n, n.machine.Leave(l.now))
+			l.run(2 * time.Second)
+			l.post(n, n.machine.Depart(l.now))
+			require.Empty(t, n.machine.Depart(l.now), "announced once")
+			took, ok := l.until(3*time.Second, func() bool { return l.agree(leaver, state.HostDead) })
+			require.True(t, ok)
+			t.Logf("gone from every view after %v", took)
+			l.run(30 * time.Second)
+			require.True(t, l.agree(leaver, state.HostDead), "it does not refute")
+			l.restart(n, 1)
+			_, ok = l.until(20*time.Second, func() bool { return l.complete() && l.allAlive() })
+			require.True(t, ok, "a host with the same ID may come back")
+		})
+	}
+}
+
 func TestOneWayCutInsideADomainIsBridgedByOthers(t *testing.T) {
 	for seed := range uint64(seeds) {
 		l := newLink(t, seed)
--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -36,8 +36,10 @@
 	// Incarnation, Leaving and Version describe the sender.
 	Incarnation uint64
 	Leaving     bool
-	Version     state.ReleaseVersion
-	Entries     []Entry
+	// Gone tells that the sender has left and serves nothing any more.
+	Gone    bool
+	Version state.ReleaseVersion
+	Entries []Entry
 	// Digest is the sender's own domain when the receiver is in another one, and
 	// else that of some other domain.
 	Digest Digest
--- a/internal/transport/platform/readback.go
+++ b/internal/transport/platform/readback.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"reflect"
 
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
@@ -84,11 +85,19 @@
 	return foundOverwritten
 }
 
-// sameJSON compares two JSON texts but for white space.
+// sameJSON compares two JSON values whatever their white space and the order of
+// their keys, for the platform may store them in another form.
 func sameJSON(a, b json.RawMessage) bool {
-	var left, right bytes.Buffer
-	if json.Compact(&left, a) != nil || json.Compact(&right, b) != nil {
-		return false
-	}
-	return bytes.Equal(left.Bytes(), right.Bytes())
+	left, okLeft := decodeExactly(a)
+	right, okRight := decodeExactly(b)
+	return okLeft && okRight && reflect.DeepEqual(left, right)
+}
+
+// decodeExactly keeps numbers as they are written.
+func decodeExactly(text json.RawMessage) (any, bool) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	var value any
+	err := decoder.Decode(&value)
+	return value, err == nil
 }
--- a/internal/transport/platform/readback_test.go
+++ b/internal/transport/platform/readback_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -53,6 +54,22 @@
 	}
 }
 
+func TestSameJSON(t *testing.T) {
+	cases := map[string]struct {
+		a, b string
+		same bool
+	}{
+		"white space":    {`{"x":[1,2]}`, "{ \"x\" : [1, 2]\n}", true},
+		"order of keys":  {`{"x":1,"y":2}`, `{"y":2,"x":1}`, true},
+		"order of items": {`[1,2]`, `[2,1]`, false},
+		"large numbers":  {`9007199254740993`, `9007199254740992`, false},
+		"no JSON":        {`{`, `{`, false},
+	}
+	for name, c := range cases {
+		require.Equal(t, c.same, sameJSON(json.RawMessage(c.a), json.RawMessage(c.b)), name)
+	}
+}
+
 // TestOutcomesOfRacingWritesAreTrue lets clients race for one object under
 // random faults: OK means that the write is in the history exactly once,
 // conflict and refused mean that it is not.
--- a/internal/transport/rpc/peer.go
+++ b/internal/transport/rpc/peer.go
@@ -40,6 +40,7 @@
 	for {
 		select {
 		case <-p.stop:
+			p.flush()
 			return
 		case m := <-p.queue:
 			idle.Reset(p.owner.settings.IdleTimeout)
@@ -53,6 +54,20 @@
 	}
 }
 
+// flush sends what is still queued, such as the news of this host's leave, and
+// drops what can't be sent in time.
+func (p *peer) flush() {
+	deadline := time.Now().Add(p.owner.settings.CallTimeout)
+	for len(p.queue) > 0 {
+		m := <-p.queue
+		if time.Now().After(deadline) {
+			p.owner.drop(causeClosed)
+			continue
+		}
+		p.deliver(m)
+	}
+}
+
 // deliver sends one message, over a new connection if there is none.
 func (p *peer) deliver(m message.Message) {
 	if p.client == nil && !p.connect() {
--- a/internal/transport/rpc/peers.go
+++ b/internal/transport/rpc/peers.go
@@ -113,7 +113,8 @@
 	return true
 }
 
-// Close drops what is queued, closes the connections and waits for their end.
+// Close sends what is queued as far as the call timeout allows, closes the
+// connections and waits for their end.
 func (p *Peers) Close() {
 	p.mu.Lock()
 	if !p.closed {
--- a/internal/transport/rpc/rpc_test.go
+++ b/internal/transport/rpc/rpc_test.go
@@ -105,6 +105,18 @@
 	require.EqualValues(t, 1, count(counters, CountConnection))
 }
 
+func TestCloseSendsWhatIsQueued(t *testing.T) {
+	b := startServer(t, ServerSettings{})
+	peers, counters := newSender(t, PeerSettings{})
+	for range 20 {
+		peers.Send(b.host, note{Text: "last"})
+	}
+	peers.Close()
+	require.EqualValues(t, 20, count(counters, CountSent))
+	peers.Send(b.host, note{})
+	require.EqualValues(t, 1, count(counters, CountDropped+"closed"))
+}
+
 func TestFullQueueDropsAndCounts(t *testing.T) {
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
