Let a host that has just started hear its peers before it admits flows

With 30 % of messages lost, a drain signal missed its 3 s on one host. Change: a host waits for news for one second after its start, as after a pause; a status that a newcomer has overtaken waits; changed drain signals are sent again twice.

--- a/internal/coordination/control/link_test.go
+++ b/internal/coordination/control/link_test.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/guavawharf/guavawharf/internal/coordination/message"
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
@@ -16,12 +15,12 @@
 	// cut tells which messages do not pass, by the domains of both ends.
 	cut func(from, to state.DomainID) bool
 	// observe sees every message sent; nil for nobody.
-	observe func(from *node, msg message.Message)
+	observe func(from *node, act Send)
 }
 
 func (l *link) send(w *world, from *node, act Send) {
 	if l.observe != nil {
-		l.observe(from, act.Message)
+		l.observe(from, act)
 	}
 	copies := 1
 	if w.rng.Float64() < l.duplicated {
--- a/internal/coordination/control/measure_test.go
+++ b/internal/coordination/control/measure_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,13 +32,17 @@
 	bytes    int
 	messages int
 	encoders map[state.HostID]*gob.Encoder
+	received map[state.HostID]int
 }
 
 func newMeter() *meter {
 	for _, msg := range Messages() {
 		gob.Register(msg)
 	}
-	return &meter{encoders: make(map[state.HostID]*gob.Encoder)}
+	return &meter{
+		encoders: make(map[state.HostID]*gob.Encoder),
+		received: make(map[state.HostID]int),
+	}
 }
 
 func (m *meter) Write(text []byte) (int, error) {
@@ -44,7 +50,8 @@
 	return len(text), nil
 }
 
-func (m *meter) count(from state.Host, msg message.Message) {
+func (m *meter) count(from, to state.Host, msg message.Message) {
+	before := m.bytes
 	encoder := m.encoders[from.ID]
 	if encoder == nil {
 		encoder = gob.NewEncoder(io.Writer(m))
@@ -54,14 +61,19 @@
 	if err := encoder.Encode(&msg); err != nil {
 		panic(err)
 	}
+	m.received[to.ID] += m.bytes - before
 }
 
+// busiest returns the most bytes that one host received.
+func (m *meter) busiest() int { return slices.Max(slices.Collect(maps.Values(m.received))) }
+
 // figures are what a run of some releases cost.
 type figures struct {
 	callsPerRelease  float64
 	idleCallsPerHour float64
 	bytesPerHost     float64
 	messagesPerHost  float64
+	busiestBytes     float64
 	delays           *hdrhistogram.Histogram
 }
 
@@ -76,7 +88,7 @@
 		delays:           hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 	}
 	count := newMeter()
-	w.link.observe = func(from *node, msg message.Message) { count.count(from.host, msg) }
+	w.link.observe = func(from *node, act Send) { count.count(from.host, act.To, act.Message) }
 	began, calls := w.now, w.store.total
 	for index := range *measureReleases {
 		version := state.ReleaseVersion(index + 2)
@@ -92,14 +104,17 @@
 	result.callsPerRelease = (float64(w.store.total-calls) - idleCalls) / float64(*measureReleases)
 	result.bytesPerHost = float64(count.bytes) / seconds / float64(len(w.nodes))
 	result.messagesPerHost = float64(count.messages) / seconds / float64(len(w.nodes))
+	if len(w.nodes) > 1 {
+		result.busiestBytes = float64(count.busiest()) / seconds
+	}
 	require.Empty(t, w.promises.broken)
 	return result
 }
 
 func (f figures) log(t *testing.T, name string) {
-	t.Logf("%s: platform calls a release %.1f, idle an hour %.0f; a host sends %.0f B/s in %.1f messages/s; "+
+	t.Logf("%s: platform calls a release %.1f, idle an hour %.0f; a host sends %.0f B/s in %.1f messages/s, the busiest receives %.0f B/s; "+
 		"acceptance to in force on a host, ms: p50 %.1f p90 %.1f p99 %.1f max %.1f of %d",
-		name, f.callsPerRelease, f.idleCallsPerHour, f.bytesPerHost, f.messagesPerHost,
+		name, f.callsPerRelease, f.idleCallsPerHour, f.bytesPerHost, f.messagesPerHost, f.busiestBytes,
 		float64(f.delays.ValueAtQuantile(50))/1000, float64(f.delays.ValueAtQuantile(90))/1000,
 		float64(f.delays.ValueAtQuantile(99))/1000, float64(f.delays.Max())/1000, f.delays.TotalCount())
 }
--- a/internal/coordination/listing/machine.go
+++ b/internal/coordination/listing/machine.go
@@ -25,7 +25,11 @@
 	// change in health or draining.
 	LoadsInterval = 5 * time.Second
 	// DigestInterval is the time between two digests to a random peer.
-	DigestInterval = time.Second
+	DigestInterval = 500 * time.Millisecond
+	// RepeatInterval is the time between the sendings of a changed drain or
+	// health signal, and Repeats how often it is sent again.
+	RepeatInterval = 300 * time.Millisecond
+	Repeats        = 2
 	// Fanout is how many peers hear of a change at once.
 	Fanout = 3
 	// RetryMax bounds the wait after a failed call.
@@ -53,6 +57,9 @@
 	read       LoadsNews
 	passedAt   time.Time
 	nextDigest time.Time
+	// repeats is how often the loads are still to be sent again.
+	repeats    int
+	nextRepeat time.Time
 
 	calling   bool
 	notBefore time.Time
@@ -101,6 +108,7 @@
 		m.listed = false
 	}
 	m.passLoads(now)
+	m.repeat(now)
 	if now.Before(m.nextDigest) {
 		return
 	}
@@ -111,6 +119,16 @@
 	}
 }
 
+// repeat sends changed signals again, since messages may be lost.
+func (m *Machine) repeat(now time.Time) {
+	if m.repeats == 0 || now.Before(m.nextRepeat) {
+		return
+	}
+	m.repeats--
+	m.nextRepeat = now.Add(RepeatInterval)
+	m.spread(m.peers, m.loads, Fanout)
+}
+
 func (m *Machine) digest() Digest {
 	return Digest{HostsRevision: m.hosts.Revision, LoadsRevision: m.loads.Revision}
 }
@@ -201,6 +219,9 @@
 	if news.Revision <= m.loads.Revision {
 		return
 	}
+	if signalsDiffer(news.List, m.loads.List) {
+		m.repeats = Repeats
+	}
 	m.loads = news
 	m.spread(m.peers, news, Fanout)
 }
--- a/internal/coordination/release/machine.go
+++ b/internal/coordination/release/machine.go
@@ -55,8 +55,8 @@
 	spread   spread
 	started  time.Time
 	ticked   time.Time
-	// pausedUntil ends the wait for news after a pause of this process.
-	pausedUntil time.Time
+	// newsUntil ends the wait for news after a start or a pause of this process.
+	newsUntil time.Time
 	// returningUntil ends the time in which a newer release counts as made
 	// while this host was away.
 	returningUntil time.Time
@@ -118,10 +118,7 @@
 
 // Tick lets time pass.
 func (m *Machine) Tick(now time.Time) {
-	m.noticePause(now)
-	if m.started.IsZero() {
-		m.started = now
-	}
+	m.noticeAbsence(now)
 	m.watch(now)
 	m.advance(now)
 	m.stage(now)
@@ -134,7 +131,7 @@
 
 // Receive handles a message of this package and ignores others.
 func (m *Machine) Receive(now time.Time, from state.Host, received message.Message) {
-	m.noticePause(now)
+	m.noticeAbsence(now)
 	switch msg := received.(type) {
 	case News:
 		m.receiveNews(now, from, msg)
--- a/internal/coordination/release/news.go
+++ b/internal/coordination/release/news.go
@@ -58,12 +58,21 @@
 	m.platform.heardAt = at
 }
 
-// noticePause finds out that this process stood still, for a while of which it
-// may have missed releases.
-func (m *Machine) noticePause(now time.Time) {
+// awaitNews holds new flows back until peers have had time to tell of releases.
+func (m *Machine) awaitNews(now time.Time) {
+	m.newsUntil = now.Add(ReturnWindow)
+	m.returningUntil = m.newsUntil
+}
+
+// noticeAbsence finds out that this process has just started or stood still for
+// a while, and may have missed releases.
+func (m *Machine) noticeAbsence(now time.Time) {
+	if m.started.IsZero() {
+		m.started = now
+		m.awaitNews(now)
+	}
 	if !m.ticked.IsZero() && now.Sub(m.ticked) > PauseAfter {
-		m.pausedUntil = now.Add(ReturnWindow)
-		m.returningUntil = m.pausedUntil
+		m.awaitNews(now)
 		m.log("release_pause_noticed", now.Sub(m.ticked).String())
 	}
 	m.ticked = now
@@ -177,10 +186,10 @@
 }
 
 // CatchingUp tells that this host was away for long and knows of a newer release
-// that it does not hold yet, or has just resumed from a pause: it must not admit
+// that it does not hold yet, or has just started or resumed: it must not admit
 // new flows. A host that is cut off again serves what it can.
 func (m *Machine) CatchingUp(now time.Time) bool {
-	if now.Before(m.pausedUntil) {
+	if now.Before(m.newsUntil) {
 		return true
 	}
 	return m.returned && !m.cutOff(now)
@@ -189,9 +198,9 @@
 // Awaited says what this host waits for before it is ready; empty for nothing.
 func (m *Machine) Awaited(now time.Time) string {
 	switch {
-	case m.CatchingUp(now) && !m.returned:
-		return "news of releases after a pause of this process"
-	case m.CatchingUp(now):
+	case m.current != nil && m.CatchingUp(now) && !m.returned:
+		return "news of releases after a start or a pause of this process"
+	case m.current != nil && m.CatchingUp(now):
 		return fmt.Sprintf("release %d after a cut-off; holds %d", m.known.Version, m.Version())
 	case m.current != nil:
 		return ""
--- a/internal/coordination/release/platform.go
+++ b/internal/coordination/release/platform.go
@@ -50,7 +50,7 @@
 
 // Answered handles the outcome of a call.
 func (m *Machine) Answered(now time.Time, call objects.Call, outcome objects.Outcome) {
-	m.noticePause(now)
+	m.noticeAbsence(now)
 	delete(m.platform.outstanding, callKey{call.Verb, call.Key})
 	switch outcome.Result {
 	case objects.ResultRefused, objects.ResultUnknown:
--- a/internal/coordination/release/status.go
+++ b/internal/coordination/release/status.go
@@ -84,6 +84,9 @@
 			delete(m.status.writes, key)
 			continue
 		}
+		if m.overtaken(now, entry) {
+			continue
+		}
 		if m.platform.failures > 0 {
 			m.relay(entry)
 		}
@@ -102,6 +105,15 @@
 	return entry.staged.Note.Version <= m.known.Version || now.Sub(entry.since) > StagedLifetime
 }
 
+// overtaken tells that a status of this domain no longer holds, because a host
+// with an older release has come since; it waits until it holds again.
+func (m *Machine) overtaken(now time.Time, entry *write) bool {
+	if entry.inForce == nil || entry.inForce.Domain != m.settings.Self.Domain {
+		return false
+	}
+	return m.domainStatus(now).Version < entry.inForce.Version
+}
+
 // statusAnswered finishes a status write or repeats it on the present version.
 func (m *Machine) statusAnswered(now time.Time, call objects.Call, outcome objects.Outcome) {
 	entry := m.status.writes[call.Key]
