--- a/internal/coordination/traffic/engine_test.go
+++ b/internal/coordination/traffic/engine_test.go
@@ -338,3 +338,35 @@
 		})
 	}
 }
+
+func TestPacketsOfNoFlowAreBounded(t *testing.T) {
+	const limit = 100
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{MaxRecords: limit, SearchRate: 500}, snap)
+	searched := 0
+	for n := range limit {
+		p := ownedPacket(e, n*1000, KindData)
+		if e.Handle(now, snap, &p).Reason == ReasonSearch {
+			searched++
+		}
+	}
+	require.Equal(t, 50, searched)
+	for n := range limit {
+		p := ownedPacket(e, n*1000, KindData)
+		p.Relay.Hops = relay.MaxHops
+		require.Equal(t, ReasonFallback, e.Handle(now, snap, &p).Reason)
+	}
+	require.Equal(t, limit*crowdedShareMilli/1000, e.Len())
+}
+
+func TestUnknownTargetIsNotGuessed(t *testing.T) {
+	snap := benchSnapshot(state.WayOwner, 0)
+	e, now := settledEngine(Settings{}, snap)
+	p := ownedPacket(e, 0, KindData)
+	h := relay.Header{Kind: relay.KindRecord, Service: 1, Target: 77, Verdict: relay.VerdictForward, Fingerprint: p.Fingerprint}
+	e.HandleRecord(now, snap, "b", h)
+	require.Equal(t, ReasonSearch, e.Handle(now, snap, &p).Reason)
+	p.Relay.Hops = relay.MaxHops
+	require.Equal(t, ReasonUnknownTarget, e.Handle(now, snap, &p).Reason)
+	require.Equal(t, 1, e.Len())
+}
--- a/internal/coordination/traffic/judgement.go
+++ b/internal/coordination/traffic/judgement.go
@@ -21,6 +21,8 @@
 	headerOpen
 	// headerClosing marks a flow that has seen FIN or RST.
 	headerClosing
+	// headerMoved marks an opening that another target did not answer.
+	headerMoved
 )
 
 // retryUnit is the unit of retry-after in headers and records.
@@ -135,10 +137,14 @@
 }
 
 // overrides reports whether the verdict replaces that of a record: what another
-// owner has confirmed does, unless it is a guess and the record is not.
+// owner has confirmed does, unless it is a guess and the record is not, or it
+// has seen no packet in mid-flow and the record has.
 func (v judgement) overrides(r *record) bool {
 	if v.verdict != relay.VerdictForward || v.agrees(r) || v.has(headerTentative) {
 		return false
 	}
+	if r.phase == phaseOpen && v.phase() == phaseOpening {
+		return false
+	}
 	return !v.has(headerGuessed) || r.has(flagGuessed)
 }
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -33,7 +33,7 @@
 // mayOpen reports whether a packet kind may start a flow.
 func mayOpen(kind PacketKind) bool { return kind == KindOpening || kind == KindDatagram }
 
-// withoutRecord opens a flow, or searches the chain for the flow's record.
+// withoutRecord opens a flow, or searches for the flow's record.
 func (e *Engine) withoutRecord(f *flow) Decision {
 	if !mayOpen(f.packet.Kind) {
 		return e.search(f)
@@ -80,6 +80,9 @@
 	if target == nil {
 		return e.search(f)
 	}
+	if e.moves(f, r, target) {
+		return e.move(f, r, target)
+	}
 	known := f.packet.Kind == KindData || f.packet.Kind == KindDatagram && r.phase == phaseOpen
 	e.observe(f, r, target)
 	if e.silent(f, r, target) {
@@ -168,6 +171,9 @@
 	e.count(f.owners.first.self, r, target)
 	switch f.packet.Kind {
 	case KindOpening:
+		if r.has(flagCounted) {
+			target.Load.Retransmits.Add(1)
+		}
 	case KindData, KindDatagram:
 		e.advance(r, target)
 	case KindClosing, KindReset:
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -19,6 +19,11 @@
 	// ReasonUnsettled drops: an owner whose view or process is young cannot
 	// refuse an opening or fall back for a flow without a record.
 	ReasonUnsettled
+	// ReasonCutOff drops: a failure domain vanished lately, and with it perhaps
+	// the record of a flow.
+	ReasonCutOff
+	// ReasonSearchLimit drops: too many packets without a record.
+	ReasonSearchLimit
 	// ReasonUnknownTarget drops: the record's target is not known here.
 	ReasonUnknownTarget
 	// ReasonAddressReused drops: the target's address now serves another service.
@@ -43,9 +48,12 @@
 	ReasonToSecond
 	// ReasonToPrevious relays an opening to the owner before a recent change.
 	ReasonToPrevious
-	// ReasonSearch relays along the owner chain to find the flow's record.
+	// ReasonSearch relays to the next host that may have the flow's record.
 	ReasonSearch
 
+	// ReasonMoved relays or forwards a retransmitted opening to another target
+	// because its first one did not answer.
+	ReasonMoved
 	// ReasonFallback forwards without a record to the base table's target.
 	ReasonFallback
 	// ReasonBase forwards a flow without a record that is older than every
@@ -68,6 +76,8 @@
 	ReasonTooManyHops:     "too_many_hops",
 	ReasonNoHosts:         "no_hosts",
 	ReasonUnsettled:       "unsettled",
+	ReasonCutOff:          "cut_off",
+	ReasonSearchLimit:     "search_limit",
 	ReasonUnknownTarget:   "unknown_target",
 	ReasonAddressReused:   "address_reused",
 	ReasonRefusedFlow:     "refused_flow",
@@ -79,6 +89,7 @@
 	ReasonToOwner:         "to_owner",
 	ReasonToSecond:        "to_second",
 	ReasonToPrevious:      "to_previous",
+	ReasonMoved:           "moved",
 	ReasonSearch:          "search",
 	ReasonFallback:        "fallback",
 	ReasonBase:            "base",
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -100,9 +100,14 @@
 	}
 	p := &Pool{settings: settings, workers: workers, launch: workers.Submit, stop: make(chan struct{})}
 	p.jobs.New = func() any { return new(Job) }
-	p.routes.Store(NewRoutes(&state.Snapshot{}))
+	p.routes.Store(new(Routes).next(&state.Snapshot{}))
 	for _, engine := range settings.Engines {
-		p.shards = append(p.shards, newShard(p, engine))
+		s, err := newShard(p, engine)
+		if err != nil {
+			p.closeSockets()
+			return nil, err
+		}
+		p.shards = append(p.shards, s)
 	}
 	p.fabric = newFabricReader(p)
 	p.relay = newRelayReader(p)
@@ -123,9 +128,10 @@
 	p.running.Go(p.sweep)
 }
 
-// Publish makes a snapshot the one that workers use from now on.
+// Publish makes a snapshot the one that workers use from now on. One goroutine
+// at a time may call it.
 func (p *Pool) Publish(snapshot *state.Snapshot) {
-	p.routes.Store(NewRoutes(snapshot))
+	p.routes.Store(p.routes.Load().next(snapshot))
 }
 
 // PassOn starts to pass on all records, once; Settings.PassedOn follows.
@@ -163,8 +169,15 @@
 	close(p.stop)
 	p.running.Wait()
 	_ = p.workers.ReleaseTimeout(finishTimeout)
+	p.closeSockets()
+}
+
+func (p *Pool) closeSockets() {
 	_ = p.settings.Fabric.Close()
 	_ = p.settings.Relay.Close()
+	for _, s := range p.shards {
+		s.output.close()
+	}
 }
 
 func (p *Pool) sweep() {
