Count what the kernel drops at the packet sockets

Cause: a full receive buffer loses packets before guavad sees them, and no counter showed it. Change: the drops column of the kernel's socket table is part of the counters. The test fills a buffer and accounts for every datagram.

--- /dev/null
+++ b/internal/transport/udp/dropped.go
@@ -0,0 +1,60 @@
+package udp
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/samber/oops"
+)
+
+// Columns of the kernel's tables of UDP sockets.
+const (
+	columnInode = 9
+	columnDrops = 12
+	columnCount = 13
+)
+
+// Dropped returns how many datagrams the kernel has dropped because the
+// socket's receive buffer was full.
+func (s *Socket) Dropped() (int64, error) {
+	inode, err := s.inode()
+	if err != nil {
+		return 0, oops.Code("udp_dropped").Wrap(err)
+	}
+	path := "/proc/self/net/udp"
+	if !s.ip4 {
+		path = "/proc/self/net/udp6"
+	}
+	table, err := os.ReadFile(path)
+	if err != nil {
+		return 0, oops.Code("udp_dropped").Wrap(err)
+	}
+	return findDrops(string(table), strconv.FormatUint(inode, 10))
+}
+
+// inode identifies the socket in the kernel's tables.
+func (s *Socket) inode() (uint64, error) {
+	raw, err := s.conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var stat syscall.Stat_t
+	var statErr error
+	err = raw.Control(func(fd uintptr) { statErr = syscall.Fstat(int(fd), &stat) })
+	if err != nil {
+		return 0, err
+	}
+	return stat.Ino, statErr
+}
+
+func findDrops(table, inode string) (int64, error) {
+	for line := range strings.Lines(table) {
+		columns := strings.Fields(line)
+		if len(columns) >= columnCount && columns[columnInode] == inode {
+			return strconv.ParseInt(columns[columnDrops], 10, 64)
+		}
+	}
+	return 0, oops.Code("udp_dropped").Errorf("socket %s is not in the kernel's table", inode)
+}
--- a/internal/transport/udp/udp_test.go
+++ b/internal/transport/udp/udp_test.go
@@ -103,6 +103,26 @@
 	require.NoError(t, clone.Close())
 }
 
+// TestDroppedCountsWhatDoesNotFit fills a small receive buffer: what was sent is
+// either received or counted as dropped.
+func TestDroppedCountsWhatDoesNotFit(t *testing.T) {
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	require.NoError(t, to.conn.SetReadBuffer(1))
+	const count = 1000
+	writer := NewWriter(from)
+	for range count {
+		writer.Add([]byte{1}, to.Address())
+	}
+	require.Zero(t, writer.Flush())
+	dropped, err := to.Dropped()
+	require.NoError(t, err)
+	require.Positive(t, dropped)
+	require.Len(t, readAll(t, to, count-int(dropped)), count-int(dropped))
+	again, err := from.Dropped()
+	require.NoError(t, err)
+	require.Zero(t, again)
+}
+
 func TestCloseEndsARead(t *testing.T) {
 	socket := listen(t, "127.0.0.1:0")
 	done := make(chan error)
--- a/internal/transport/workers/counts.go
+++ b/internal/transport/workers/counts.go
@@ -102,7 +102,7 @@
 }
 
 // Counters returns all counters of the packet path: its own events, one for
-// each reason of traffic and one for each decoding error.
+// each reason of traffic, one for each decoding error and the kernel's drops.
 func (p *Pool) Counters() []Counter {
 	var counters []Counter
 	for event := range eventCount {
@@ -121,6 +121,19 @@
 		value := p.sum(func(c *counts) int64 { return c.relays[err].Load() })
 		counters = append(counters, Counter{err.Error(), value})
 	}
+	return append(counters, p.kernelDrops()...)
+}
+
+// kernelDrops returns what the kernel dropped before it could be read. A
+// counter that can't be read is left out.
+func (p *Pool) kernelDrops() []Counter {
+	var counters []Counter
+	if dropped, err := p.settings.Fabric.Dropped(); err == nil {
+		counters = append(counters, Counter{"fabric_buffer_full", dropped})
+	}
+	if dropped, err := p.settings.Relay.Dropped(); err == nil {
+		counters = append(counters, Counter{"relay_buffer_full", dropped})
+	}
 	return counters
 }
 
