--- /dev/null
+++ b/internal/transport/workers/garbage_test.go
@@ -0,0 +1,54 @@
+package workers
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/relay"
+	"github.com/guavawharf/guavawharf/internal/protocol/relaywire"
+	"github.com/guavawharf/guavawharf/internal/transport/udp"
+)
+
+// garble returns a copy with some bytes changed and perhaps cut.
+func garble(rng *rand.Rand, data []byte) []byte {
+	garbled := append([]byte(nil), data...)
+	for range rng.IntN(4) {
+		garbled[rng.IntN(len(garbled))] = byte(rng.Uint32())
+	}
+	if rng.IntN(2) == 0 {
+		garbled = garbled[:rng.IntN(len(garbled))]
+	}
+	return garbled
+}
+
+// TestEveryGarbledDatagramIsCountedOnce sends garbled packets to both sockets:
+// each is forwarded, taken as a record message or counted as one error.
+func TestEveryGarbledDatagramIsCountedOnce(t *testing.T) {
+	const count, seed = 2000, 1
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	b := newBench(t, nil)
+	packet := opening(t, 40000)
+	relayed := relaywire.Append(nil, relay.Header{Kind: relay.KindPacket}, packet)
+	fabric, peer := udp.NewWriter(b.outside), udp.NewWriter(b.peer)
+	for range count {
+		fabric.Add(garble(rng, packet), b.pool.settings.Fabric.Address())
+		peer.Add(garble(rng, relayed), b.pool.settings.Relay.Address())
+	}
+	require.Zero(t, fabric.Flush()+peer.Flush())
+	require.Eventually(t, func() bool {
+		counted := int64(len(b.engine.records)) + b.counter(t, "forwarded")
+		for _, counter := range b.pool.Counters() {
+			isError := strings.HasPrefix(counter.Name, "packet_") || strings.HasPrefix(counter.Name, "relay_")
+			if isError && counter.Name != "relay_received" {
+				counted += counter.Value
+			}
+		}
+		return counted == 2*count
+	}, time.Minute, 10*time.Millisecond)
+	require.Less(t, b.counter(t, "forwarded"), int64(2*count))
+}
--- a/internal/transport/workers/pool_test.go
+++ b/internal/transport/workers/pool_test.go
@@ -22,6 +22,8 @@
 	peerID state.HostID = "b1"
 	// serviceNumber is the service of the opening.
 	serviceNumber state.ServiceNumber = 7
+	// maxRecords is how many record messages a test may send.
+	maxRecords = 4096
 	// portions is how many calls of PassOn the engine needs.
 	portions = 3
 )
@@ -75,7 +77,7 @@
 func newBench(t *testing.T, decide func(*traffic.Packet) traffic.Decision) *bench {
 	t.Helper()
 	b := &bench{
-		engine:   &fakeEngine{records: make(chan relay.Header, 1)},
+		engine:   &fakeEngine{records: make(chan relay.Header, maxRecords)},
 		outside:  listen(t),
 		peer:     listen(t),
 		passedOn: make(chan struct{}, 2),
