--- a/cmd/guavad/main.go
+++ b/cmd/guavad/main.go
@@ -8,6 +8,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/samber/oops"
+
 	"github.com/guavawharf/guavawharf/internal/daemon"
 	"github.com/guavawharf/guavawharf/internal/protocol/settings"
 )
@@ -40,13 +42,21 @@
 	leave := leaveOnSignal()
 	d, err := daemon.New(checked, log)
 	if err != nil {
-		log.Error(daemon.LogStartFailed, "error", err)
+		log.Error(daemon.LogStartFailed, "error", err.Error(), "code", errorCode(err))
 		return exitFailed
 	}
 	d.Run(leave)
 	return exitOK
 }
 
+// errorCode returns the stable code of an error, or nil.
+func errorCode(err error) any {
+	if coded, ok := oops.AsOops(err); ok {
+		return coded.Code()
+	}
+	return nil
+}
+
 // readSettings prints every issue of the file.
 func readSettings(path string) (settings.Settings, bool) {
 	data, err := os.ReadFile(path)
