--- a/internal/transport/workers/bench_test.go
+++ b/internal/transport/workers/bench_test.go
@@ -291,7 +291,9 @@
 	for n := range manyFlows {
 		p := benchOpening(n)
 		engine := engines[p.Fingerprint.High%benchShards]
-		require.Equal(t, traffic.VerbForward, engine.Handle(now, snapshot, &p).Verb)
+		if d := engine.Handle(now, snapshot, &p); d.Verb != traffic.VerbForward {
+			t.Fatalf("flow %d: verb %d, reason %s", n, d.Verb, d.Reason)
+		}
 	}
 	used := heapInUse() - before
 	t.Logf("%d bytes for %d flows", used, manyFlows)
