--- /dev/null
+++ b/scripts/planned.sh
@@ -0,0 +1,119 @@
+#!/usr/bin/env bash
+# Brings a release of the planned size (3,600 services, 27,000 targets) into
+# force on two entry hosts in two failure domains on loopback, and prints the
+# time of each note, and what the hosts use before, after, and after a time at
+# rest. Nothing is sent through the hosts.
+#
+# Usage: scripts/planned.sh [SECONDS AT REST]
+#
+# PLANNED_NET sets the first two bytes of the loopback addresses.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+rest=${1:-30}
+net=${PLANNED_NET:-127.78}
+platform=http://$net.0.1:7900
+notes=12
+services=300
+targets=2250
+
+dir=$(mktemp -d)
+pids=()
+
+stop_all() {
+	for pid in "${pids[@]}"; do
+		kill "$pid" 2>/dev/null || true
+	done
+	wait
+	rm -rf "$dir"
+}
+trap stop_all EXIT
+
+# host_settings ID NUMBER DOMAIN prints the settings of one entry host.
+host_settings() {
+	local seed
+	cat <<-TOML
+		[host]
+		id = "$1"
+		domain = "$3"
+		packets = "$net.1.$2:6080"
+		relay = "$net.1.$2:6081"
+		control = "$net.1.$2:6082"
+		metrics = "$net.1.$2:6083"
+
+		[fabric]
+		return = "$net.0.3:7902"
+
+		[platform]
+		url = "$platform"
+	TOML
+	for seed in 1 2; do
+		cat <<-TOML
+
+			[[membership.seeds]]
+			id = "h$seed"
+			domain = "domain-$seed"
+			packets = "$net.1.$seed:6080"
+			relay = "$net.1.$seed:6081"
+			control = "$net.1.$seed:6082"
+		TOML
+	done
+}
+
+# note N prints the n-th note, from 0.
+note() {
+	printf 'id = "planned-%d"\nbase = %d\n' "$1" "$1"
+	if [ "$1" -eq 0 ]; then
+		printf '[[set.customer]]\nid = "customer"\nweight = 1\n'
+		printf '[[add.domain]]\nid = "domain-%d"\n' 1 2
+	fi
+	awk -v note="$1" -v services=$services -v targets=$targets 'BEGIN {
+		for (s = 0; s < services; s++) {
+			n = note * services + s
+			printf "[[add.service]]\nid = \"s%d\"\ncustomer = \"customer\"\nprotocol = \"tcp\"\n", n
+			printf "address = \"198.51.%d.%d:443\"\n", n / 250, n % 250 + 1
+		}
+		for (t = 0; t < targets; t++) {
+			n = note * targets + t
+			printf "[[add.target]]\nid = \"t%d\"\nservice = \"s%d\"\ndomain = \"domain-%d\"\n", n, note * services + t % services, n % 2 + 1
+			printf "address = \"10.1.%d.%d:6080\"\n", n / 250, n % 250 + 1
+		}
+	}'
+}
+
+# usage prints processor time and memory of both entry hosts.
+usage() {
+	local number pid ticks rss peak
+	for number in 1 2; do
+		pid=${pids[number]}
+		ticks=$(awk '{print $14 + $15}' "/proc/$pid/stat")
+		rss=$(awk '/^VmRSS/ {print $2}' "/proc/$pid/status")
+		peak=$(awk '/^VmHWM/ {print $2}' "/proc/$pid/status")
+		echo "entry host h$number: $((ticks * 1000 / $(getconf CLK_TCK))) ms of processor time, $((rss / 1024)) MB, peak $((peak / 1024)) MB"
+	done
+}
+
+./bin/guava-standin platform --listen "$net.0.1:7900" 2>"$dir/platform.log" &
+pids+=($!)
+for number in 1 2; do
+	host_settings "h$number" "$number" "domain-$number" >"$dir/h$number.toml"
+	./bin/guavad --config "$dir/h$number.toml" 2>"$dir/h$number.log" &
+	pids+=($!)
+done
+for number in 1 2; do
+	until ./bin/guavactl hosts --host "$net.1.$number:6082" >/dev/null 2>&1; do
+		kill -0 "${pids[number]}"
+		sleep 0.1
+	done
+done
+usage
+for n in $(seq 0 $((notes - 1))); do
+	note "$n" >"$dir/note.toml"
+	began=$(date +%s%N)
+	./bin/guavactl apply "$dir/note.toml" --platform "$platform" --wait 60s >/dev/null
+	echo "note $n of $(wc -c <"$dir/note.toml") bytes in force after $((($(date +%s%N) - began) / 1000000)) ms"
+done
+usage
+sleep "$rest"
+echo "after $rest s at rest"
+usage
