--- a/internal/standin/slopes/releases.go
+++ b/internal/standin/slopes/releases.go
@@ -61,6 +61,39 @@
 	}, nil
 }
 
+const (
+	// spreadDomains is the number of domains while their hosts vary.
+	spreadDomains  = 2
+	spreadReleases = 5
+)
+
+// measureSpread applies releases to two domains of x hosts.
+func measureSpread(r *run, x int) ([]Metric, error) {
+	f, err := readyFleet(r, spreadDomains, x)
+	if err != nil {
+		return nil, err
+	}
+	times := hdrhistogram.New(1, maxReleaseMicros, significantDigits)
+	f.resetCounts()
+	began := f.now
+	for i := range spreadReleases {
+		took, err := f.apply(oneMore(i))
+		if err != nil {
+			return nil, err
+		}
+		// The value is within the histogram's range, so that no error can come.
+		_ = times.RecordValue(took.Microseconds())
+		f.run(second)
+	}
+	elapsed := f.now.Sub(began).Seconds()
+	return []Metric{
+		{"in_force_p50", "s", float64(times.ValueAtQuantile(50)) / 1e6},
+		{"in_force_max", "s", float64(times.Max()) / 1e6},
+		{"platform_calls_all", "1/s", float64(f.counts.calls) / elapsed},
+		{"messages_a_release_a_host", "messages", float64(f.counts.messages) / float64(spreadReleases*len(f.hosts))},
+	}, nil
+}
+
 // readyFleet returns a fleet with a first release in force.
 func readyFleet(r *run, domains, hosts int) (*fleet, error) {
 	f, err := newFleet(domains, hosts, r.seed)
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -80,6 +80,7 @@
 		{"domain_hosts", "hosts of a failure domain", []int{8, 16, 32, 64, 128, 256}, measureDomainHosts},
 		{"domains", "failure domains of 8 hosts each", []int{2, 3, 4, 6, 8}, measureDomains},
 		{"releases", "releases a minute to 4 domains of 4 hosts", []int{1, 2, 4, 6, 12}, measureReleases},
+		{"spread", "hosts in each of 2 domains that a release reaches", []int{4, 8, 16, 32, 64, 128}, measureSpread},
 	}
 }
 
