Show every note that is kept in guavactl status

Cause: without an id, status showed one note; the contract says each note. Change: the pending note and the one accepted last by failure domain, the others with their outcome and reason.

--- a/internal/ctl/flags.go
+++ b/internal/ctl/flags.go
@@ -28,7 +28,7 @@
 var verbs = []verbHelp{
 	{VerbApply, "Hand a release note in and wait for its outcome.", "NOTE.toml", true},
 	{VerbCheck, "Check a release note against the newest release; change nothing.", "NOTE.toml", true},
-	{VerbStatus, "Tell how a note stands in each failure domain; without an id, the newest.", "NOTE-ID", false},
+	{VerbStatus, "Tell how notes stand in each failure domain; without an id, all that are kept.", "NOTE-ID", false},
 	{VerbHistory, "List the notes that were decided, newest first.", "", false},
 	{VerbHosts, "List the entry hosts that a host knows, and whether it is ready.", "", false},
 	{VerbTargets, "List the targets as a host sees them.", "", false},
--- a/internal/ctl/notes.go
+++ b/internal/ctl/notes.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// status prints one note, or the note pending or accepted last.
+// status prints one note, or all that the head names.
 func (c *Command) status(ctx context.Context) error {
 	id := state.NoteID(c.options.Note)
 	if id == "" {
@@ -105,39 +105,65 @@
 }
 
 func (c *Command) renderStatus(status NoteStatus) error {
+	return c.renderStatuses([]NoteStatus{status}, status)
+}
+
+// renderStatuses prints notes as a table, or value as JSON.
+func (c *Command) renderStatuses(statuses []NoteStatus, value any) error {
 	table := Table{Header: []string{"NOTE", "STATE", "RELEASE", "DOMAIN", "STAGED", "RUNS", "SINCE", "AWAITED", "REASON"}}
+	for _, status := range statuses {
+		table.addStatus(status)
+	}
+	return render(c.out, c.options.Output, value, table)
+}
+
+// addStatus adds a row for each failure domain of a note, or one without.
+func (t *Table) addStatus(status NoteStatus) {
 	if len(status.Domains) == 0 {
-		table.add(status.Note, status.State, status.Version, "", "", "", status.At, "", status.Reason)
+		t.add(status.Note, status.State, status.Version, "", "", "", status.At, "", status.Reason)
 	}
 	for _, domain := range status.Domains {
 		reason := domain.Reason
 		if len(domain.Behind) > 0 {
 			reason += " behind: " + joined(domain.Behind)
 		}
-		table.add(status.Note, status.State, status.Version, domain.Domain,
+		t.add(status.Note, status.State, status.Version, domain.Domain,
 			domain.Staged, domain.Runs, domain.Since, domain.Awaited, reason)
 	}
-	return render(c.out, c.options.Output, status, table)
 }
 
-// statusAll prints every note that the head names, with the domains of the
-// newest one that was not refused.
+// statusAll prints every note that the head names: the pending one and the one
+// accepted last by failure domain, the others with their outcome.
 func (c *Command) statusAll(ctx context.Context) error {
 	rows, err := c.store.History(ctx)
 	if err != nil {
 		return err
 	}
+	statuses := make([]NoteStatus, 0, len(rows))
+	current := false
 	for _, row := range rows {
-		if row.State == objects.NoteRefused {
-			continue
+		status := statusOf(row)
+		if row.State != objects.NoteRefused && !current {
+			if status, err = c.store.Status(ctx, row.Note.ID); err != nil {
+				return err
+			}
+			current = row.State == objects.NoteAccepted
 		}
-		status, err := c.store.Status(ctx, row.Note.ID)
-		if err != nil {
-			return err
-		}
-		return c.renderStatus(status)
+		statuses = append(statuses, status)
+	}
+	return c.renderStatuses(statuses, statuses)
+}
+
+// statusOf is the status that a decision alone gives.
+func statusOf(row objects.Decision) NoteStatus {
+	return NoteStatus{
+		Note:    row.Note.ID,
+		State:   row.State,
+		Version: row.Note.Version,
+		Reason:  row.Reason,
+		At:      row.At,
+		Without: row.Without,
 	}
-	return c.renderHistory(rows)
 }
 
 func (c *Command) history(ctx context.Context) error {
