--- a/internal/transport/platform/idempotent_test.go
+++ b/internal/transport/platform/readback_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -13,7 +14,7 @@
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
-func TestLostAnswersOfIdempotentWrites(t *testing.T) {
+func TestLostAnswersOfWritesAreReadBack(t *testing.T) {
 	overwritten := func(o *outage) fault {
 		return func(w http.ResponseWriter, _ *http.Request, run func()) bool {
 			run()
@@ -44,7 +45,7 @@
 		t.Run(name, func(t *testing.T) {
 			underFaults(t, Settings{}, func(t *testing.T, o *outage) {
 				o.store.inject(c.faults(o)...)
-				outcome := o.client.DoIdempotent(t.Context(), put("k", 0, `"mine"`))
+				outcome := o.client.Do(t.Context(), put("k", 0, `"mine"`))
 				time.Sleep(time.Minute)
 				require.Equal(t, c.result, outcome.Result)
 				require.Equal(t, c.version, o.store.version("k"))
@@ -53,6 +54,22 @@
 	}
 }
 
+func TestSameJSON(t *testing.T) {
+	cases := map[string]struct {
+		a, b string
+		same bool
+	}{
+		"white space":    {`{"x":[1,2]}`, "{ \"x\" : [1, 2]\n}", true},
+		"order of keys":  {`{"x":1,"y":2}`, `{"y":2,"x":1}`, true},
+		"order of items": {`[1,2]`, `[2,1]`, false},
+		"large numbers":  {`9007199254740993`, `9007199254740992`, false},
+		"no JSON":        {`{`, `{`, false},
+	}
+	for name, c := range cases {
+		require.Equal(t, c.same, sameJSON(json.RawMessage(c.a), json.RawMessage(c.b)), name)
+	}
+}
+
 // TestOutcomesOfRacingWritesAreTrue lets clients race for one object under
 // random faults: OK means that the write is in the history exactly once,
 // conflict and refused mean that it is not.
@@ -87,7 +104,7 @@
 			for round := range rounds {
 				current := client.Do(t.Context(), get("k"))
 				value := fmt.Sprintf(`"%d-%d"`, w, round)
-				outcome := client.DoIdempotent(t.Context(), put("k", current.Object.Version, value))
+				outcome := client.Do(t.Context(), put("k", current.Object.Version, value))
 				claims <- claim{value, outcome.Result}
 				time.Sleep(time.Duration(w+1) * time.Second)
 			}
