Show the run of a host in the view, not its refutations

Flow ownership takes another incarnation for a restart that lost its records, yet a refuted suspicion raised the incarnation too: at 5 % loss about once a minute for a live host. An incarnation is now the run of the process and, in its low bits, a count of refutations; the view shows the run. A process that restarts with the run of its former self is told and takes a later one.

--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -73,7 +73,19 @@
 	return true
 }
 
-// refute answers a belief about this host that is newer than its own.
+// refutationBits is the width of the part of an incarnation that counts the
+// refutations of one run; the part above numbers the run of the process.
+const refutationBits = 12
+
+// firstIncarnation is the incarnation that a run begins with.
+func firstIncarnation(run uint64) uint64 { return run << refutationBits }
+
+// runOf is the run that an incarnation belongs to.
+func runOf(incarnation uint64) uint64 { return incarnation >> refutationBits }
+
+// refute answers a belief about this host that is newer than its own. A belief
+// about another run makes this one a later run, so that the others notice the
+// restart.
 func (m *Machine) refute(e Entry) {
 	if e.Incarnation < m.incarnation || m.gone {
 		return
@@ -83,6 +95,10 @@
 		return
 	}
 	m.incarnation = e.Incarnation + 1
+	if moved || runOf(e.Incarnation) != m.run {
+		m.run = max(m.run, runOf(e.Incarnation)) + 1
+		m.incarnation = firstIncarnation(m.run)
+	}
 	m.changed()
 }
 
--- a/internal/coordination/membership/converge_test.go
+++ b/internal/coordination/membership/converge_test.go
@@ -21,7 +21,7 @@
 		l := newLink(t, rapid.Uint64().Draw(rt, "seed"))
 		l.domains(rapid.SampledFrom([][]int{{3, 2, 2}, {2, 2, 2, 1}, {4, 1}}).Draw(rt, "sizes")...)
 		l.run(5 * time.Second)
-		incarnation := uint64(1)
+		run := firstRun
 		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
 			n := l.nodes[rapid.IntRange(0, len(l.nodes)-1).Draw(rt, "host")]
 			other := l.nodes[rapid.IntRange(0, len(l.nodes)-1).Draw(rt, "other")]
@@ -29,8 +29,8 @@
 			case 0:
 				n.killed = true
 			case 1:
-				incarnation += rapid.Uint64Range(0, 2).Draw(rt, "incarnation")
-				l.restart(n, incarnation)
+				run += rapid.Uint64Range(0, 2).Draw(rt, "run")
+				l.restart(n, run)
 			case 2:
 				n.paused = true
 			case 3:
@@ -57,12 +57,12 @@
 }
 
 // restart replaces a host by a new process that knows the same seeds.
-func (l *link) restart(n *node, incarnation uint64) {
+func (l *link) restart(n *node, run uint64) {
 	var hosts []state.Host
 	for _, o := range l.nodes {
 		hosts = append(hosts, o.host)
 	}
-	l.add(n.host, incarnation, hosts...)
+	l.add(n.host, run, hosts...)
 }
 
 func (l *link) healAll() {
--- a/internal/coordination/membership/cost_test.go
+++ b/internal/coordination/membership/cost_test.go
@@ -81,9 +81,9 @@
 // seven other domains: ten ticks, answered probes and two probes of others.
 func BenchmarkSecond(b *testing.B) {
 	self := testHost(1, 0)
-	m := New(self, 1, rand.New(rand.NewPCG(1, 1)))
+	m := New(self, firstRun, rand.New(rand.NewPCG(1, 1)))
 	now := epoch
-	add := func(h state.Host) { m.Receive(now, h, Ack{Gossip: Gossip{Incarnation: 1}}) }
+	add := func(h state.Host) { m.Receive(now, h, Ack{Gossip: Gossip{Incarnation: firstIncarnation(firstRun)}}) }
 	for i := range 650 {
 		add(testHost(1, i))
 	}
@@ -93,7 +93,7 @@
 		}
 	}
 	m.updates = updates{}
-	gossip := Gossip{Incarnation: 1, Entries: []Entry{m.table.sorted[5].entry(), m.table.sorted[6].entry()}}
+	gossip := Gossip{Incarnation: firstIncarnation(firstRun), Entries: []Entry{m.table.sorted[5].entry(), m.table.sorted[6].entry()}}
 	second := func() {
 		for range 10 {
 			now = now.Add(tickInterval)
--- a/internal/coordination/membership/link_test.go
+++ b/internal/coordination/membership/link_test.go
@@ -16,6 +16,9 @@
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
+// firstRun is the run of every host that a test starts first.
+var firstRun = uint64(epoch.UnixMicro())
+
 const tickInterval = 100 * time.Millisecond
 
 // flight is a message on its way.
@@ -112,9 +115,9 @@
 	}
 }
 
-func (l *link) add(h state.Host, incarnation uint64, seeds ...state.Host) *node {
+func (l *link) add(h state.Host, run uint64, seeds ...state.Host) *node {
 	rng := rand.New(rand.NewPCG(l.seed, uint64(len(l.nodes)+100)))
-	n := &node{host: h, machine: New(h, incarnation, rng)}
+	n := &node{host: h, machine: New(h, run, rng)}
 	n.machine.Seed(l.now, seeds)
 	n.nextTick = l.now.Add(time.Duration(rng.Int64N(int64(tickInterval))))
 	l.nodes = slices.DeleteFunc(l.nodes, func(o *node) bool { return o.host.ID == h.ID })
@@ -132,7 +135,7 @@
 		}
 	}
 	for _, h := range hosts {
-		l.add(h, 1, hosts...)
+		l.add(h, firstRun, hosts...)
 	}
 }
 
@@ -144,6 +147,16 @@
 	return n
 }
 
+// run returns the run of a host as the node's view has it.
+func (n *node) run(id state.HostID) uint64 {
+	for _, m := range n.machine.View().Members {
+		if m.ID == id {
+			return m.Incarnation
+		}
+	}
+	return 0
+}
+
 func (n *node) running() bool { return !n.killed && !n.paused }
 
 func (l *link) post(from *node, out []message.Outgoing) {
@@ -305,7 +318,7 @@
 func (l *link) acquaint() {
 	for _, n := range l.nodes {
 		for _, other := range l.nodes {
-			n.machine.Receive(l.now, other.host, Ack{Gossip: Gossip{Incarnation: 1}})
+			n.machine.Receive(l.now, other.host, Ack{Gossip: Gossip{Incarnation: other.machine.incarnation}})
 		}
 		n.machine.updates = updates{}
 		n.machine.sync.done = true
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -21,7 +21,9 @@
 
 // Machine is the membership of one host. It is not safe for concurrent use.
 type Machine struct {
-	self        state.Host
+	self state.Host
+	// run numbers the run of this process, for this host.
+	run         uint64
 	incarnation uint64
 	leaving     bool
 	gone        bool
@@ -57,11 +59,13 @@
 }
 
 // New returns a machine that knows only its own host. A restarted host passes a
-// higher incarnation than before; if it does not, it is told and raises it.
-func New(self state.Host, incarnation uint64, rng *rand.Rand) *Machine {
+// higher run than before, such as its start time in microseconds; if it does
+// not, it is told and raises it. The run must be below 2^52.
+func New(self state.Host, run uint64, rng *rand.Rand) *Machine {
 	return &Machine{
 		self:        self,
-		incarnation: incarnation,
+		run:         run,
+		incarnation: firstIncarnation(run),
 		rng:         rng,
 		table:       newTable(),
 		probes:      newProbing(),
@@ -209,14 +213,12 @@
 	return append([]Digest{m.ownDigest()}, m.digests...)
 }
 
-// Incarnation returns this host's own incarnation.
-func (m *Machine) Incarnation() uint64 { return m.incarnation }
-
 // Messages returns the zero value of each message type.
 func (m *Machine) Messages() []message.Message { return Messages() }
 
 // View returns the current view. The members slice is shared and stays the same
-// until something changes; it must not be modified.
+// until something changes; it must not be modified. A member's incarnation is the
+// number of its run: it changes when the host restarts, not when it refutes.
 func (m *Machine) View() state.View {
 	if m.stale {
 		m.rebuildView()
@@ -229,10 +231,10 @@
 	if m.leaving {
 		status = state.HostLeaving
 	}
-	members := []state.Member{{Host: m.self, Status: status, Incarnation: m.incarnation}}
+	members := []state.Member{{Host: m.self, Status: status, Incarnation: m.run}}
 	m.table.each(func(k *member) {
 		if !k.dead() {
-			members = append(members, state.Member{Host: k.host, Status: k.shownStatus(), Incarnation: k.incarnation})
+			members = append(members, k.shown())
 		}
 	})
 	slices.SortFunc(members, func(a, b state.Member) int { return compareIDs(a.ID, b.ID) })
--- a/internal/coordination/membership/machine_test.go
+++ b/internal/coordination/membership/machine_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 	for _, victim := range []state.HostID{"host-1-000", "host-4-000"} {
 		overSeeds(t, func(t *testing.T, l *link) {
 			n := l.node(victim)
-			before := n.machine.Incarnation()
+			before := n.machine.incarnation
 			n.paused = true
 			_, ok := l.until(20*time.Second, func() bool { return l.agree(victim, state.HostDead) })
 			require.True(t, ok)
@@ -68,7 +69,10 @@
 			took, ok := l.until(10*time.Second, l.allAlive)
 			require.True(t, ok)
 			t.Logf("%s back in every view after %v", victim, took)
-			require.Greater(t, n.machine.Incarnation(), before)
+			require.Greater(t, n.machine.incarnation, before)
+			for _, other := range l.nodes {
+				require.Equal(t, firstRun, other.run(victim), "its records are still there")
+			}
 		})
 	}
 }
@@ -92,18 +96,21 @@
 }
 
 func TestRestartedHostReplacesItsFormerSelf(t *testing.T) {
-	for _, incarnation := range []uint64{0, 1, 1000} {
+	for _, run := range []uint64{0, firstRun, firstRun + 1, 2 * firstRun} {
 		overSeeds(t, func(t *testing.T, l *link) {
 			moved := testHost(1, 0)
 			moved.Relay = moved.Packets
 			l.node(moved.ID).machine.SetReleaseVersion(7)
 			l.run(5 * time.Second)
-			l.add(moved, incarnation, testHost(2, 0))
+			l.add(moved, run, testHost(2, 0))
 			_, ok := l.until(20*time.Second, func() bool {
-				seen := l.node("host-4-000").machine.table.get(moved.ID)
-				return l.complete() && l.allAlive() && seen.host == moved && seen.version == 0
+				return l.complete() && l.allAlive() && !slices.ContainsFunc(l.nodes, func(n *node) bool {
+					seen := n.machine.table.get(moved.ID)
+					former := n.run(moved.ID) == firstRun
+					return former || seen != nil && (seen.host != moved || seen.version != 0)
+				})
 			})
-			require.True(t, ok, "incarnation %d", incarnation)
+			require.True(t, ok, "run %d", run)
 		})
 	}
 }
@@ -137,7 +144,7 @@
 			t.Logf("gone from every view after %v", took)
 			l.run(30 * time.Second)
 			require.True(t, l.agree(leaver, state.HostDead), "it does not refute")
-			l.restart(n, 1)
+			l.restart(n, firstRun)
 			_, ok = l.until(20*time.Second, func() bool { return l.complete() && l.allAlive() })
 			require.True(t, ok, "a host with the same ID may come back")
 		})
@@ -191,7 +198,7 @@
 			l.run(3 * time.Second)
 			for _, n := range l.nodes {
 				n.machine.Receive(l.now, testHost(1, 1), Ack{Gossip: old})
-				n.machine.Receive(l.now, victim, Ack{Gossip: Gossip{Incarnation: 1}})
+				n.machine.Receive(l.now, victim, Ack{Gossip: Gossip{Incarnation: firstIncarnation(firstRun)}})
 			}
 			require.True(t, l.agree(victim.ID, state.HostDead))
 		}
@@ -218,7 +225,7 @@
 
 func TestListIntroducesAHost(t *testing.T) {
 	overSeeds(t, func(t *testing.T, l *link) {
-		added := l.add(testHost(5, 0), 1)
+		added := l.add(testHost(5, 0), firstRun)
 		l.run(10 * time.Second)
 		require.Equal(t, state.HostDead, l.sees("host-1-000", added.host.ID))
 		list := objects.HostList{Hosts: []objects.ListedHost{{Host: added.host}}}
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -51,6 +51,15 @@
 	return m.status
 }
 
+// shown is the member as the view holds it.
+func (m *member) shown() state.Member {
+	return state.Member{
+		Host:        m.host,
+		Status:      m.shownStatus(),
+		Incarnation: runOf(m.incarnation),
+	}
+}
+
 // supersedes tells whether e is newer than what is believed.
 func (m *member) supersedes(e Entry) bool {
 	if e.Incarnation != m.incarnation {
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -30,7 +30,8 @@
 type Member struct {
 	Host
 	Status HostStatus
-	// Incarnation orders beliefs about one host; higher wins.
+	// Incarnation numbers the run of the host's process; it changes when the host
+	// restarts, and its flow records are gone then.
 	Incarnation uint64
 }
 
