--- a/internal/coordination/membership/cost_test.go
+++ b/internal/coordination/membership/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -81,6 +82,7 @@
 // seven other domains: ten ticks, answered probes and two probes of others.
 func BenchmarkSecond(b *testing.B) {
 	self := testHost(1, 0)
+	before := memoryInUse()
 	m := New(self, firstRun, rand.New(rand.NewPCG(1, 1)))
 	now := epoch
 	add := func(h state.Host) { m.Receive(now, h, Ack{Gossip: Gossip{Incarnation: firstIncarnation(firstRun)}}) }
@@ -93,6 +95,8 @@
 		}
 	}
 	m.updates = updates{}
+	known := len(m.View().Members) - 1
+	memory := float64(memoryInUse()-before) / float64(known)
 	gossip := Gossip{Incarnation: firstIncarnation(firstRun), Entries: []Entry{m.table.sorted[5].entry(), m.table.sorted[6].entry()}}
 	second := func() {
 		for range 10 {
@@ -112,6 +116,14 @@
 		second()
 	}
 	require.Len(b, m.View().Members, 650+7*MaxContacts)
+	b.ReportMetric(memory, "B/known-host")
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
 }
 
 // BenchmarkLargeDomain reports what a host spends in a domain of 650 hosts,
