Keep old lookup tables of services that send packets straight on

Cause: control dropped a table one idle timeout after the next release. Under WayContested a flow that is still open then was no longer sent to its owner, but straight to the newest table's target, which does not know it. Ruled out: dropping when this host holds no such record; others may. Change: old versions end under the other ways only.

--- a/internal/coordination/control/carry.go
+++ b/internal/coordination/control/carry.go
@@ -96,8 +96,9 @@
 	return slices.IndexFunc(entries, func(entry *state.TargetEntry) bool { return entry.Number == number })
 }
 
-// sweep drops withdrawn targets that nothing refers to any more, and table
-// versions older than every open flow.
+// sweep drops withdrawn targets that nothing refers to any more, and old table
+// versions. Under WayContested a table stays: an open flow that it placed is sent
+// to its owner only while the tables differ.
 func (p *publisher) sweep(now time.Time) {
 	if now.Sub(p.swept) < sweepInterval {
 		return
@@ -105,7 +106,7 @@
 	p.swept = now
 	for id, entry := range p.entries {
 		next := p.sweepTargets(now, entry)
-		if next.IdleTimeout > 0 {
+		if next.IdleTimeout > 0 && next.Way != state.WayContested {
 			next = lookup.DropBase(next, p.history.baseFor(now, next.IdleTimeout+baseMargin))
 		}
 		if next == entry {
