Relay to owners where a host lacks tables that open flows may need

Cause: under WayContested a host that joined after a release, or skipped one, had only the newest table. After one idle timeout it sent packets of flows that older tables placed straight to another target. A change of a service's way had the same effect on flows placed off their hash. Ruled out: trusting the idle timeout, since a long flow never idles; sending the old tables along, which needs up to eight target sets in each release. Change: a release counts the changes of each service; an entry that misses one is marked, and all its slots count as contested. A way can't be changed to or from hash, where flows have no records.

--- a/internal/coordination/traffic/contested.go
+++ b/internal/coordination/traffic/contested.go
@@ -39,8 +39,8 @@
 	return number
 }
 
-// knowsTables reports whether this host has been up for so long that every open
-// flow was opened under a table that it retains.
+// knowsTables reports whether this host has been up for so long that it holds
+// the records of the flows that it owns.
 func (e *Engine) knowsTables(entry *state.ServiceEntry) bool {
 	return e.now.Sub(e.started) >= e.idleTimeout(entry)
 }
@@ -49,7 +49,8 @@
 // opened under the base table: this host is one of its owners and has been for
 // long enough to hold the records of all other flows.
 func (e *Engine) belongsToBase(f *flow) bool {
-	if f.routes.entry.Way != state.WayContested || !e.knowsTables(f.routes.entry) {
+	entry := f.routes.entry
+	if entry.Way != state.WayContested || entry.Truncated || !e.knowsTables(entry) {
 		return false
 	}
 	owner := f.owners.first.self || f.owners.second != nil && f.owners.second.self
--- a/internal/state/apply_test.go
+++ b/internal/state/apply_test.go
@@ -87,6 +87,7 @@
 		{"customer in use", Note{Base: 1, WithdrawCustomers: []CustomerID{"painter"}}, []ProblemCode{ProblemUnknown, ProblemUnknown}},
 		{"too heavy", Note{Base: 1, ChangeTargets: []TargetChange{{ID: "feed-1", Weight: &heavy}}}, []ProblemCode{ProblemInvalidWeight}},
 		{"without a stranger", Note{Base: 1, AddDomains: []DomainID{"c"}, Without: []DomainID{"z"}}, []ProblemCode{ProblemUnknown}},
+		{"way to hash", Note{Base: 1, ChangeServices: []ServiceChange{{ID: "feed", Way: new(WayHash)}}}, []ProblemCode{ProblemWayFixed}},
 		{"service address taken", Note{Base: 1, AddServices: []ServiceSpec{
 			{ID: "other", Customer: "painter", Protocol: TCP, Address: netip.MustParseAddrPort("198.51.100.1:443")},
 		}}, []ProblemCode{ProblemAddressTaken}},
@@ -119,3 +120,18 @@
 	require.Equal(t, ServiceID("sheets"), next.Services[1].ID)
 	require.NotEqual(t, base.Services[1].Number, next.Services[1].Number)
 }
+
+func TestApplyCountsTheChangesOfAService(t *testing.T) {
+	base := firstRelease(t)
+	require.Zero(t, base.Services[0].Changes)
+	next, problems := Apply(base, &Note{
+		ID:             "second",
+		Base:           1,
+		AddTargets:     []TargetSpec{targetSpec("feed-3", "feed", "a", "192.0.2.3:6080")},
+		ChangeServices: []ServiceChange{{ID: "proof", Way: new(WayContested)}},
+	})
+	require.Empty(t, problems)
+	require.Equal(t, uint32(1), next.Services[0].Changes)
+	require.Equal(t, uint32(1), next.Services[1].Changes)
+	require.Equal(t, WayContested, next.Services[1].Way)
+}
--- a/internal/state/problem.go
+++ b/internal/state/problem.go
@@ -16,6 +16,7 @@
 	ProblemNoTarget      ProblemCode = "no_target_left"
 	ProblemNoDomain      ProblemCode = "no_domain_left"
 	ProblemInvalidWeight ProblemCode = "invalid_weight"
+	ProblemWayFixed      ProblemCode = "way_fixed"
 )
 
 // Problem is one reason why a note cannot be applied to a release.
--- a/internal/state/release.go
+++ b/internal/state/release.go
@@ -67,6 +67,9 @@
 	// Retired are the targets withdrawn last, oldest first, at most MaxRetired.
 	// They get no new flows; every host can still forward flows opened there.
 	Retired []Target
+	// Changes counts the notes that changed the targets or the way after the
+	// service was added. Flows may be open that older tables placed unless it is 0.
+	Changes uint32
 }
 
 // MaxRetired bounds Service.Retired.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -64,8 +64,8 @@
 	// Tables holds the retained table versions, newest first; the last is the
 	// base version.
 	Tables []*LookupTable
-	// Truncated is true when a table version was dropped that open flows may
-	// still need; WayContested then treats every slot as contested.
+	// Truncated is true when open flows may need a table version that this host
+	// dropped or never had; WayContested then treats every slot as contested.
 	Truncated bool
 	// Entries are the service's targets, withdrawn ones with open flows included.
 	Entries []*TargetEntry
