Play every fault at every step of a flow, with real engines

Cause: open flows are what users feel, and the matrix looked at releases and hosts alone. Change: the hosts of the fake world carry traffic engines and callers that retransmit; the same faults begin at the steps of one flow, among 60 others, while a release is made. A paused host that others had taken for dead admitted flows under its old release for some milliseconds: a gap of one second now counts as a pause, less than it takes to be taken for dead.

--- a/internal/coordination/control/world_test.go
+++ b/internal/coordination/control/world_test.go
@@ -67,6 +67,8 @@
 	promises promises
 	// onCall and onAnswer see each platform call before it runs and after.
 	onCall func(n *node, call objects.Call)
+	// flows joins the traffic of the hosts, nil for none.
+	flows *traffics
 	// keepRecords lets no host pass its flow records on.
 	keepRecords bool
 	onStep      func(n *node)
@@ -189,6 +191,9 @@
 			if w.keepRecords {
 				continue
 			}
+			if w.flows != nil {
+				w.flows.passOn(n)
+			}
 			run := n.run
 			w.after(300*time.Millisecond, func() {
 				w.deliver(n, run, RecordsPassedOn{})
--- a/internal/coordination/release/timing.go
+++ b/internal/coordination/release/timing.go
@@ -39,7 +39,7 @@
 	// KeptNotes is how many accepted notes a host keeps for its peers.
 	KeptNotes = 16
 	// PauseAfter is the gap between two ticks that counts as a pause.
-	PauseAfter = 3 * time.Second
+	PauseAfter = time.Second
 	// ReturnWindow is how long after a return releases may turn out to be missed.
 	ReturnWindow = time.Second
 	// StagedLifetime is how long a domain's answer is worth writing.
