--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,12 +12,14 @@
 # load on: it prints what the entry hosts use before and after the time.
 #
 # DEMO_NET sets the first two bytes of the loopback addresses, DEMO_SEED the seed
-# of the load.
+# of the load. DEMO_WAY sets the way of all services: owner, contested or hash;
+# hash keeps no records, so that the second note breaks flows and the demo fails.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 net=${DEMO_NET:-127.77}
 seed=${DEMO_SEED:-1}
+way=${DEMO_WAY:-owner}
 platform_address=$net.0.1:7900
 platform=http://$platform_address
 upstreams=$net.0.2:7901
@@ -229,7 +231,7 @@
 			customer = "$([ "$service" = lookups ] && echo desk || echo huaman)"
 			protocol = "$(service_protocol "$service")"
 			address = "$(service_address "$service")"
-			way = "owner"
+			way = "$way"
 			idle_timeout = "60s"
 		TOML
 	done
