--- a/internal/coordination/health/settings.go
+++ b/internal/coordination/health/settings.go
@@ -1,6 +1,9 @@
 package health
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings of a Tracker. Zero fields take the default values.
 type Settings struct {
@@ -78,23 +81,15 @@
 	strainFactor = 0.7
 )
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 func (s Settings) withDefaults() Settings {
-	s.HalfLife = orDefault(s.HalfLife, DefaultHalfLife)
-	s.MinOpenings = orDefault(s.MinOpenings, DefaultMinOpenings)
-	s.MinSuccess = orDefault(s.MinSuccess, DefaultMinSuccess)
-	s.MaxEjected = orDefault(s.MaxEjected, DefaultMaxEjected)
-	s.PanicThreshold = orDefault(s.PanicThreshold, DefaultPanicThreshold)
-	s.EjectFor = orDefault(s.EjectFor, DefaultEjectFor)
-	s.EjectMax = orDefault(s.EjectMax, DefaultEjectMax)
-	s.SlowStart = orDefault(s.SlowStart, DefaultSlowStart)
-	s.LoadHorizon = orDefault(s.LoadHorizon, DefaultLoadHorizon)
+	s.HalfLife = cmp.Or(s.HalfLife, DefaultHalfLife)
+	s.MinOpenings = cmp.Or(s.MinOpenings, DefaultMinOpenings)
+	s.MinSuccess = cmp.Or(s.MinSuccess, DefaultMinSuccess)
+	s.MaxEjected = cmp.Or(s.MaxEjected, DefaultMaxEjected)
+	s.PanicThreshold = cmp.Or(s.PanicThreshold, DefaultPanicThreshold)
+	s.EjectFor = cmp.Or(s.EjectFor, DefaultEjectFor)
+	s.EjectMax = cmp.Or(s.EjectMax, DefaultEjectMax)
+	s.SlowStart = cmp.Or(s.SlowStart, DefaultSlowStart)
+	s.LoadHorizon = cmp.Or(s.LoadHorizon, DefaultLoadHorizon)
 	return s
 }
--- a/internal/coordination/traffic/settings.go
+++ b/internal/coordination/traffic/settings.go
@@ -1,6 +1,9 @@
 package traffic
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Placement selects how a new flow gets its target.
 type Placement uint8
@@ -74,24 +77,16 @@
 
 // withDefaults fills the zero fields.
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.MaxRecords, DefaultMaxRecords)
-	setDefault(&s.BoundMilli, DefaultBoundMilli)
-	setDefault(&s.Settle, DefaultSettle)
-	setDefault(&s.Overlap, DefaultOverlap)
-	setDefault(&s.CutOff, DefaultCutOff)
-	setDefault(&s.SearchRate, DefaultSearchRate)
-	setDefault(&s.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&s.OpeningTimeout, DefaultOpeningTimeout)
-	setDefault(&s.ClosingTimeout, DefaultClosingTimeout)
-	setDefault(&s.RetryAfter, DefaultRetryAfter)
-	setDefault(&s.SilentTimeout, DefaultSilentTimeout)
+	s.MaxRecords = cmp.Or(s.MaxRecords, DefaultMaxRecords)
+	s.BoundMilli = cmp.Or(s.BoundMilli, DefaultBoundMilli)
+	s.Settle = cmp.Or(s.Settle, DefaultSettle)
+	s.Overlap = cmp.Or(s.Overlap, DefaultOverlap)
+	s.CutOff = cmp.Or(s.CutOff, DefaultCutOff)
+	s.SearchRate = cmp.Or(s.SearchRate, DefaultSearchRate)
+	s.IdleTimeout = cmp.Or(s.IdleTimeout, DefaultIdleTimeout)
+	s.OpeningTimeout = cmp.Or(s.OpeningTimeout, DefaultOpeningTimeout)
+	s.ClosingTimeout = cmp.Or(s.ClosingTimeout, DefaultClosingTimeout)
+	s.RetryAfter = cmp.Or(s.RetryAfter, DefaultRetryAfter)
+	s.SilentTimeout = cmp.Or(s.SilentTimeout, DefaultSilentTimeout)
 	return s
 }
-
-// setDefault sets a zero field.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/transport/platform/settings.go
+++ b/internal/transport/platform/settings.go
@@ -1,6 +1,9 @@
 package platform
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings of a Client. Zero fields take the default values.
 type Settings struct {
@@ -44,25 +47,16 @@
 // maxPageSize bounds the body of a list or watch in bytes.
 const maxPageSize = 64 << 20
 
-// orDefault returns value, or fallback for the zero value.
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // withDefaults fills in the zero fields.
 func (s Settings) withDefaults() Settings {
-	s.Timeout = orDefault(s.Timeout, DefaultTimeout)
-	s.MaxAttempts = orDefault(s.MaxAttempts, DefaultMaxAttempts)
-	s.RetryRate = orDefault(s.RetryRate, DefaultRetryRate)
-	s.RetryBurst = orDefault(s.RetryBurst, DefaultRetryBurst)
-	s.BackOffMin = orDefault(s.BackOffMin, DefaultBackOffMin)
-	s.BackOffMax = orDefault(s.BackOffMax, DefaultBackOffMax)
-	s.FailuresToOpen = orDefault(s.FailuresToOpen, DefaultFailuresToOpen)
-	s.OpenFor = orDefault(s.OpenFor, DefaultOpenFor)
-	s.MaxConnections = orDefault(s.MaxConnections, DefaultMaxConnections)
+	s.Timeout = cmp.Or(s.Timeout, DefaultTimeout)
+	s.MaxAttempts = cmp.Or(s.MaxAttempts, DefaultMaxAttempts)
+	s.RetryRate = cmp.Or(s.RetryRate, DefaultRetryRate)
+	s.RetryBurst = cmp.Or(s.RetryBurst, DefaultRetryBurst)
+	s.BackOffMin = cmp.Or(s.BackOffMin, DefaultBackOffMin)
+	s.BackOffMax = cmp.Or(s.BackOffMax, DefaultBackOffMax)
+	s.FailuresToOpen = cmp.Or(s.FailuresToOpen, DefaultFailuresToOpen)
+	s.OpenFor = cmp.Or(s.OpenFor, DefaultOpenFor)
+	s.MaxConnections = cmp.Or(s.MaxConnections, DefaultMaxConnections)
 	return s
 }
--- a/internal/transport/rpc/peers.go
+++ b/internal/transport/rpc/peers.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -33,21 +34,11 @@
 )
 
 func (s PeerSettings) withDefaults() PeerSettings {
-	if s.QueueSize == 0 {
-		s.QueueSize = DefaultQueueSize
-	}
-	if s.MaxPeers == 0 {
-		s.MaxPeers = DefaultMaxPeers
-	}
-	if s.DialTimeout == 0 {
-		s.DialTimeout = DefaultDialTimeout
-	}
-	if s.CallTimeout == 0 {
-		s.CallTimeout = DefaultCallTimeout
-	}
-	if s.IdleTimeout == 0 {
-		s.IdleTimeout = DefaultPeerIdleTimeout
-	}
+	s.QueueSize = cmp.Or(s.QueueSize, DefaultQueueSize)
+	s.MaxPeers = cmp.Or(s.MaxPeers, DefaultMaxPeers)
+	s.DialTimeout = cmp.Or(s.DialTimeout, DefaultDialTimeout)
+	s.CallTimeout = cmp.Or(s.CallTimeout, DefaultCallTimeout)
+	s.IdleTimeout = cmp.Or(s.IdleTimeout, DefaultPeerIdleTimeout)
 	return s
 }
 
--- a/internal/transport/rpc/server.go
+++ b/internal/transport/rpc/server.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"net/rpc"
@@ -59,15 +60,9 @@
 
 // NewServer returns a server that does not listen yet.
 func NewServer(settings ServerSettings, deliver Deliver, operator Operator, counters Counters) (*Server, error) {
-	if settings.MaxConnections == 0 {
-		settings.MaxConnections = DefaultMaxConnections
-	}
-	if settings.Workers == 0 {
-		settings.Workers = DefaultWorkers
-	}
-	if settings.IdleTimeout == 0 {
-		settings.IdleTimeout = DefaultIdleTimeout
-	}
+	settings.MaxConnections = cmp.Or(settings.MaxConnections, DefaultMaxConnections)
+	settings.Workers = cmp.Or(settings.Workers, DefaultWorkers)
+	settings.IdleTimeout = cmp.Or(settings.IdleTimeout, DefaultIdleTimeout)
 	pool, err := ants.NewPool(settings.Workers,
 		ants.WithNonblocking(true),
 		ants.WithPanicHandler(func(v any) { panic(v) }),
