--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -23,6 +23,12 @@
 	DefaultQueueLength = 4096
 	// SweepInterval is the time between two sweeps of a shard's records.
 	SweepInterval = 10 * time.Millisecond
+	// IdleSweepInterval is the time between two sweeps while no shard holds more
+	// than IdleRecords: these are visited within a second all the same.
+	IdleSweepInterval = 50 * time.Millisecond
+	// IdleRecords is the number of records of a shard above which it is swept
+	// every SweepInterval.
+	IdleRecords = 16 * SweepBudget
 	// SweepBudget is the number of records that one sweep visits.
 	SweepBudget = 512
 	// PassOnBudget is the number of records passed on with each sweep. It keeps
@@ -181,14 +187,15 @@
 }
 
 func (p *Pool) sweep() {
-	ticker := time.NewTicker(SweepInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(SweepInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-p.stop:
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		timer.Reset(p.sweepInterval())
 		for _, s := range p.shards {
 			if s.queue.wake() {
 				p.start(s)
@@ -197,6 +204,16 @@
 	}
 }
 
+// sweepInterval returns the time to the next sweep of all shards.
+func (p *Pool) sweepInterval() time.Duration {
+	for _, s := range p.shards {
+		if s.passOn.Load() || s.flows.Load() > IdleRecords {
+			return SweepInterval
+		}
+	}
+	return IdleSweepInterval
+}
+
 // start lets a worker run the shard. It fails only once the pool is closed.
 func (p *Pool) start(s *shard) {
 	_ = p.launch(s.work)
