Keep a domain's status true while its view is wrong

Change: a host that left the view counts for five more seconds, and one of which nothing is known keeps the status as it was.

--- a/internal/coordination/release/machine.go
+++ b/internal/coordination/release/machine.go
@@ -80,7 +80,9 @@
 
 // SetView tells the machine which hosts membership believes in.
 func (m *Machine) SetView(view state.View) {
+	before := m.members.present()
 	m.members.setView(view)
+	m.status.noteGone(m.ticked, before, m.members.present())
 	m.status.forget(view)
 }
 
--- a/internal/coordination/release/status.go
+++ b/internal/coordination/release/status.go
@@ -20,10 +20,18 @@
 	behindSince time.Time
 	behind      []state.HostID
 	writes      map[string]*write
+	// gone holds the hosts of this domain that have just left the view.
+	gone map[state.HostID]goneHost
 	// stored holds the newest known version of each domain's status object.
 	stored map[string]uint64
 }
 
+// goneHost is a host that is taken for dead, and what was in force on it.
+type goneHost struct {
+	since   time.Time
+	version state.ReleaseVersion
+}
+
 // write is a status object on its way to the platform.
 type write struct {
 	staged  *objects.Staged
@@ -36,6 +44,7 @@
 	return status{
 		versions: make(map[state.HostID]state.ReleaseVersion),
 		writes:   make(map[string]*write),
+		gone:     make(map[state.HostID]goneHost),
 		stored:   make(map[string]uint64),
 	}
 }
@@ -45,6 +54,21 @@
 	s.versions[host] = version
 }
 
+// noteGone remembers the hosts that left the view, until they are back.
+func (s *status) noteGone(now time.Time, before, after []state.Host) {
+	for _, host := range before {
+		s.gone[host.ID] = goneHost{since: now, version: s.versions[host.ID]}
+	}
+	for _, host := range after {
+		back, wasGone := s.gone[host.ID]
+		if _, heard := s.versions[host.ID]; wasGone && !heard {
+			s.versions[host.ID] = back.version
+		}
+		delete(s.gone, host.ID)
+	}
+	maps.DeleteFunc(s.gone, func(_ state.HostID, host goneHost) bool { return now.Sub(host.since) > GoneAfter })
+}
+
 // forget drops the hosts that are no longer members.
 func (s *status) forget(view state.View) {
 	present := make(map[state.HostID]bool, len(view.Members))
@@ -227,15 +251,24 @@
 
 // domainStatus adds up what is in force on this domain's hosts, leaving ones
 // included. Hosts that hold no release yet take no traffic and only count as
-// behind.
+// behind; with a host of which nothing is known the status stays as it was.
 func (m *Machine) domainStatus(now time.Time) objects.InForce {
 	hosts := m.members.present()
 	lowest := m.Version()
 	for _, host := range hosts {
-		if version := m.status.versions[host.ID]; version > 0 {
+		version, heard := m.status.versions[host.ID]
+		if !heard {
+			lowest = min(lowest, m.status.reported.Version)
+		}
+		if version > 0 {
 			lowest = min(lowest, version)
 		}
 	}
+	for _, host := range m.status.gone {
+		if host.version > 0 && now.Sub(host.since) <= GoneAfter {
+			lowest = min(lowest, host.version)
+		}
+	}
 	next := objects.InForce{Domain: m.settings.Self.Domain, Version: lowest, Since: now}
 	for _, host := range hosts {
 		if m.status.versions[host.ID] >= m.Version() {
--- a/internal/coordination/release/timing.go
+++ b/internal/coordination/release/timing.go
@@ -44,6 +44,9 @@
 	ReturnWindow = time.Second
 	// StagedLifetime is how long a domain's answer is worth writing.
 	StagedLifetime = 30 * time.Second
+	// GoneAfter is how long a host that is taken for dead still counts in its
+	// domain's status: it may live and only be slow to answer.
+	GoneAfter = 5 * time.Second
 	// BehindAfter is how long a host lags before its domain's status names it.
 	BehindAfter = 3 * time.Second
 	// PartSize is the aimed size of a checkpoint part in bytes.
