Take out the record message that nobody sends

Cause: KindForget was handled and never sent, since FIN and RST pass both owners; HandleRecord returned messages that never came. Change: the kind and the return value are gone. The test of the header's encoding draws the four kinds there are, and the fifth is now one of the refused. Conclusion: the packages' tests pass; behaviour is as before.

--- a/internal/coordination/control/flows_test.go
+++ b/internal/coordination/control/flows_test.go
@@ -165,12 +165,12 @@
 
 func (f *traffics) notify(n *node, notices []traffic.Notice) {
 	for _, notice := range notices {
-		f.pass(n, notice.To, func(to *node) { f.record(to, n.host.ID, notice.Header) })
+		f.pass(n, notice.To, func(to *node) { f.record(to, notice.Header) })
 	}
 }
 
-func (f *traffics) record(to *node, from state.HostID, header relay.Header) {
-	f.notify(to, f.engine(to).HandleRecord(f.w.now, to.snapshot, from, header))
+func (f *traffics) record(to *node, header relay.Header) {
+	f.engine(to).HandleRecord(f.w.now, to.snapshot, header)
 }
 
 // pass carries a datagram to another host over the faulty link.
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -40,8 +40,6 @@
 	KindConfirm Kind = 3
 	// KindRecord copies a record to an owner that should hold it.
 	KindRecord Kind = 4
-	// KindForget tells the other owner that the flow has ended.
-	KindForget Kind = 5
 )
 
 // Verdict is the decision about a flow.
--- a/internal/coordination/traffic/engine_test.go
+++ b/internal/coordination/traffic/engine_test.go
@@ -364,7 +364,7 @@
 	e, now := settledEngine(Settings{}, snap)
 	p := ownedPacket(e, 0, KindData)
 	h := relay.Header{Kind: relay.KindRecord, Service: 1, Target: 77, Verdict: relay.VerdictForward, Fingerprint: p.Fingerprint}
-	e.HandleRecord(now, snap, "b", h)
+	e.HandleRecord(now, snap, h)
 	require.Equal(t, ReasonSearch, e.Handle(now, snap, &p).Reason)
 	p.Relay.Hops = relay.MaxHops
 	require.Equal(t, ReasonUnknownTarget, e.Handle(now, snap, &p).Reason)
--- a/internal/coordination/traffic/experiment/host.go
+++ b/internal/coordination/traffic/experiment/host.go
@@ -204,7 +204,7 @@
 		to := h.bed.byID[n.To]
 		h.bed.between(h.Domain, to.Domain, func() {
 			if to.up {
-				to.notify(to.engine.HandleRecord(h.bed.time(), to.snap, h.ID, n.Header))
+				to.engine.HandleRecord(h.bed.time(), to.snap, n.Header)
 			}
 		})
 	}
--- a/internal/coordination/traffic/notices.go
+++ b/internal/coordination/traffic/notices.go
@@ -42,19 +42,15 @@
 	}
 }
 
-// HandleRecord takes a message about a flow record from another entry host. It
-// returns the messages that this causes.
-func (e *Engine) HandleRecord(now time.Time, snap *state.Snapshot, from state.HostID, h relay.Header) []Notice {
+// HandleRecord takes a message about a flow record from another entry host.
+func (e *Engine) HandleRecord(now time.Time, snap *state.Snapshot, h relay.Header) {
 	e.begin(now, snap)
 	switch h.Kind {
 	case relay.KindConfirm:
 		e.confirm(h)
 	case relay.KindRecord:
 		e.takeRecord(h)
-	case relay.KindForget:
-		e.forget(h)
 	}
-	return nil
 }
 
 // confirm takes the verdict of an owner that knew more than this one.
@@ -110,11 +106,3 @@
 		e.count(o.first.self, r, target)
 	}
 }
-
-// forget ends a record whose flow has ended elsewhere.
-func (e *Engine) forget(h relay.Header) {
-	r := e.records.find(h.Fingerprint)
-	if r != nil && r.service == h.Service && r.target == h.Target {
-		e.remove(r)
-	}
-}
--- a/internal/protocol/relaywire/relaywire.go
+++ b/internal/protocol/relaywire/relaywire.go
@@ -135,7 +135,7 @@
 }
 
 func check(header relay.Header, packet []byte) error {
-	if header.Kind < relay.KindOpening || header.Kind > relay.KindForget {
+	if header.Kind < relay.KindOpening || header.Kind > relay.KindRecord {
 		return ErrKind
 	}
 	if header.Hops > relay.MaxHops {
--- a/internal/protocol/relaywire/relaywire_test.go
+++ b/internal/protocol/relaywire/relaywire_test.go
@@ -12,7 +12,7 @@
 
 func drawHeader(t *rapid.T) relay.Header {
 	return relay.Header{
-		Kind:       relay.Kind(rapid.IntRange(1, 5).Draw(t, "kind")),
+		Kind:       relay.Kind(rapid.IntRange(1, 4).Draw(t, "kind")),
 		Hops:       uint8(rapid.IntRange(0, relay.MaxHops).Draw(t, "hops")),
 		Position:   rapid.Uint8().Draw(t, "position"),
 		Target:     state.TargetNumber(rapid.Uint32().Draw(t, "target")),
@@ -59,7 +59,7 @@
 		{"short", make([]byte, relay.HeaderSize-1), ErrShort},
 		{"version", otherVersion, ErrVersion},
 		{"kind 0", with(func(h *relay.Header) { h.Kind = 0 }), ErrKind},
-		{"kind 6", with(func(h *relay.Header) { h.Kind = 6 }), ErrKind},
+		{"kind 5", with(func(h *relay.Header) { h.Kind = 5 }), ErrKind},
 		{"hops", with(func(h *relay.Header) { h.Hops = relay.MaxHops + 1 }), ErrHops},
 		{"verdict", with(func(h *relay.Header) { h.Verdict = 3 }), ErrVerdict},
 		{"no packet", Append(nil, valid, nil), ErrBody},
--- a/internal/standin/slopes/engines.go
+++ b/internal/standin/slopes/engines.go
@@ -166,7 +166,7 @@
 func (c *cluster) enter(host int, p traffic.Packet) {
 	for {
 		d := c.engines[host].Handle(c.now, c.snapshots[host], &p)
-		c.notify(host, d.Notices[:d.NoticeCount])
+		c.notify(d.Notices[:d.NoticeCount])
 		if d.Verb != traffic.VerbRelay {
 			c.end(d)
 			return
@@ -187,12 +187,11 @@
 	c.other++
 }
 
-func (c *cluster) notify(from int, notices []traffic.Notice) {
+func (c *cluster) notify(notices []traffic.Notice) {
 	for _, n := range notices {
 		c.notices++
 		to := c.index(n.To)
-		more := c.engines[to].HandleRecord(c.now, c.snapshots[to], c.hosts[from].ID, n.Header)
-		c.notify(to, more)
+		c.engines[to].HandleRecord(c.now, c.snapshots[to], n.Header)
 	}
 }
 
--- a/internal/standin/slopes/flows.go
+++ b/internal/standin/slopes/flows.go
@@ -114,7 +114,7 @@
 		}
 		for n := range c.engines {
 			notices := c.engines[n].Sweep(c.now, c.snapshots[n], sweepsPerStep*sweepBudget)
-			c.notify(n, notices)
+			c.notify(notices)
 		}
 		c.now = c.now.Add(step)
 	}
--- a/internal/transport/workers/job.go
+++ b/internal/transport/workers/job.go
@@ -6,7 +6,6 @@
 import (
 	"github.com/guavawharf/guavawharf/internal/coordination/relay"
 	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
-	"github.com/guavawharf/guavawharf/internal/state"
 )
 
 // MaxPacketSize is the longest accepted IP packet in bytes.
@@ -18,9 +17,8 @@
 	// Packet is set for callers' packets.
 	Packet traffic.Packet
 	// Record tells that the datagram is a record message, whose header is
-	// Packet.Relay, from the host From.
+	// Packet.Relay.
 	Record bool
-	From   state.HostID
 
 	lane lane
 	data [relay.HeaderSize + MaxPacketSize]byte
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -44,7 +44,7 @@
 // Engine decides for one shard; *traffic.Engine is one.
 type Engine interface {
 	Handle(now time.Time, snap *state.Snapshot, p *traffic.Packet) traffic.Decision
-	HandleRecord(now time.Time, snap *state.Snapshot, from state.HostID, h relay.Header) []traffic.Notice
+	HandleRecord(now time.Time, snap *state.Snapshot, h relay.Header)
 	Sweep(now time.Time, snap *state.Snapshot, budget int) []traffic.Notice
 	PassOn(now time.Time, snap *state.Snapshot, budget int) (notices []traffic.Notice, done bool)
 	Len() int
--- a/internal/transport/workers/pool_test.go
+++ b/internal/transport/workers/pool_test.go
@@ -39,9 +39,8 @@
 	return f.decide(p)
 }
 
-func (f *fakeEngine) HandleRecord(_ time.Time, _ *state.Snapshot, _ state.HostID, h relay.Header) []traffic.Notice {
+func (f *fakeEngine) HandleRecord(_ time.Time, _ *state.Snapshot, h relay.Header) {
 	f.records <- h
-	return nil
 }
 
 func (f *fakeEngine) Sweep(time.Time, *state.Snapshot, int) []traffic.Notice { return nil }
@@ -201,7 +200,7 @@
 
 func TestRecordMessagesReachTheEngine(t *testing.T) {
 	b := newBench(t, nil)
-	header := relay.Header{Kind: relay.KindForget, Fingerprint: state.Fingerprint{High: 3, Low: 4}}
+	header := relay.Header{Kind: relay.KindRecord, Fingerprint: state.Fingerprint{High: 3, Low: 4}}
 	send(b.peer, b.pool.settings.Relay.Address(), relaywire.Append(nil, header, nil))
 	require.Equal(t, header, <-b.engine.records)
 }
--- a/internal/transport/workers/reader.go
+++ b/internal/transport/workers/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/guavawharf/guavawharf/internal/protocol/packet"
 	"github.com/guavawharf/guavawharf/internal/protocol/relaywire"
+	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/transport/udp"
 )
 
@@ -149,8 +150,7 @@
 		return false
 	}
 	job := d.Slot.job
-	job.From = from
-	if err := r.decode(job, d.Size); err != nil {
+	if err := r.decode(job, from, d.Size); err != nil {
 		c.failure(err)
 		return false
 	}
@@ -158,7 +158,7 @@
 	return true
 }
 
-func (r *relayReader) decode(job *Job, size int) error {
+func (r *relayReader) decode(job *Job, from state.HostID, size int) error {
 	header, inner, err := relaywire.Decode(job.data[:size])
 	if err != nil {
 		return err
@@ -174,7 +174,7 @@
 		return err
 	}
 	job.Packet.Relayed = true
-	job.Packet.From = job.From
+	job.Packet.From = from
 	job.Packet.Relay = header
 	return nil
 }
--- a/internal/transport/workers/shard.go
+++ b/internal/transport/workers/shard.go
@@ -65,8 +65,7 @@
 func (s *shard) handle(now time.Time, job *Job) {
 	snapshot := s.output.routes.Snapshot
 	if job.Record {
-		notices := s.engine.HandleRecord(now, snapshot, job.From, job.Packet.Relay)
-		s.output.notices(notices)
+		s.engine.HandleRecord(now, snapshot, job.Packet.Relay)
 		return
 	}
 	decision := s.engine.Handle(now, snapshot, &job.Packet)
