Hold packets back after a pause until releases are known again

Control notices the pause, but only new flows waited for news; packets of open flows went out before the first tick. Ruled out: a fault in telling reused addresses apart. Change: the packet path notices a gap of more than release.PauseAfter by its own pulse and keeps packets from targets and callers until control is ready again after a tick; relays between hosts go on. Counted as held_after_pause. A busy control goroutine alone does not raise it. What is left: a batch already decided when the process stops is sent on waking. Conclusion: a woken host takes the current release before it serves targets again.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -79,6 +79,7 @@
 		select {
 		case <-tick.C:
 			c.step(control.Tick{})
+			c.resume()
 		case <-report.C:
 			c.step(c.report.next(c.snapshot, c.daemon.pool.Flows()))
 		case event := <-c.events:
@@ -109,6 +110,15 @@
 	c.daemon.gauges.set(c)
 }
 
+// resume ends what holds packets back after a pause, once the core has noticed
+// the pause at a tick and heard of releases since.
+func (c *controller) resume() {
+	now := time.Now()
+	if c.core.Ready(now) {
+		c.daemon.pool.Resume(now)
+	}
+}
+
 func (c *controller) do(action control.Action) {
 	switch a := action.(type) {
 	case control.Send:
--- a/internal/transport/workers/counts.go
+++ b/internal/transport/workers/counts.go
@@ -47,6 +47,9 @@
 	EventSendFailed
 	// EventUnanswerable counts refusals and resets that could not be built.
 	EventUnanswerable
+	// EventHeld counts packets held back from targets and callers because this
+	// process stood still and may not know the current release.
+	EventHeld
 
 	eventCount
 )
@@ -68,6 +71,7 @@
 	EventReceiveFailed:  "receive_failed",
 	EventSendFailed:     "send_failed",
 	EventUnanswerable:   "answer_not_built",
+	EventHeld:           "held_after_pause",
 }
 
 // maxErrors bounds the errors of one decoding package.
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -81,6 +81,7 @@
 	refused sync.Map
 	running sync.WaitGroup
 	stop    chan struct{}
+	fence   *fence
 }
 
 // New returns a pool that does not run yet. It drops packets until the first
@@ -99,6 +100,7 @@
 		return nil, oops.Code("worker_pool").Wrap(err)
 	}
 	p := &Pool{settings: settings, workers: workers, launch: workers.Submit, stop: make(chan struct{})}
+	p.fence = newFence(settings.Now())
 	p.jobs.New = func() any { return new(Job) }
 	p.routes.Store(new(Routes).next(&state.Snapshot{}))
 	for _, engine := range settings.Engines {
@@ -134,6 +136,10 @@
 	p.routes.Store(p.routes.Load().next(snapshot))
 }
 
+// Resume lets packets through again that were held back after a pause of this
+// process. The snapshot must be known to be current at the given time.
+func (p *Pool) Resume(at time.Time) { p.fence.lift(at) }
+
 // PassOn starts to pass on all records, once; Settings.PassedOn follows.
 func (p *Pool) PassOn() {
 	p.passOnce.Do(func() {
@@ -189,6 +195,7 @@
 			return
 		case <-ticker.C:
 		}
+		p.fence.pulse(p.settings.Now())
 		for _, s := range p.shards {
 			if s.queue.wake() {
 				p.start(s)
--- a/internal/transport/workers/pool_test.go
+++ b/internal/transport/workers/pool_test.go
@@ -75,6 +75,12 @@
 
 // newBench starts a pool whose engine decides by the given function, or forwards.
 func newBench(t *testing.T, decide func(*traffic.Packet) traffic.Decision) *bench {
+	t.Helper()
+	return newBenchAt(t, time.Now, decide)
+}
+
+// newBenchAt is newBench with another clock.
+func newBenchAt(t *testing.T, now func() time.Time, decide func(*traffic.Packet) traffic.Decision) *bench {
 	t.Helper()
 	b := &bench{
 		engine:   &fakeEngine{records: make(chan relay.Header, maxRecords)},
@@ -93,6 +99,7 @@
 		Return:   b.outside.Address(),
 		Engines:  []Engine{b.engine},
 		PassedOn: func() { b.passedOn <- struct{}{} },
+		Now:      now,
 	})
 	require.NoError(t, err)
 	peer := state.Host{ID: peerID, Relay: b.peer.Address()}
--- a/internal/transport/workers/shard.go
+++ b/internal/transport/workers/shard.go
@@ -72,6 +72,10 @@
 	decision := s.engine.Handle(now, snapshot, &job.Packet)
 	s.output.counts.reason(decision.Reason)
 	s.output.notices(decision.Notices[:decision.NoticeCount])
+	if decision.Verb != traffic.VerbRelay && decision.Verb != traffic.VerbDrop && s.pool.fence.up(now) {
+		s.output.counts.event(EventHeld)
+		return
+	}
 	s.act(job, &decision)
 }
 
