--- a/internal/coordination/membership/cost_test.go
+++ b/internal/coordination/membership/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -81,9 +82,10 @@
 // seven other domains: ten ticks, answered probes and two probes of others.
 func BenchmarkSecond(b *testing.B) {
 	self := testHost(1, 0)
-	m := New(self, 1, rand.New(rand.NewPCG(1, 1)))
+	before := memoryInUse()
+	m := New(self, firstRun, rand.New(rand.NewPCG(1, 1)))
 	now := epoch
-	add := func(h state.Host) { m.Receive(now, h, Ack{Gossip: Gossip{Incarnation: 1}}) }
+	add := func(h state.Host) { m.Receive(now, h, Ack{Gossip: Gossip{Incarnation: firstIncarnation(firstRun)}}) }
 	for i := range 650 {
 		add(testHost(1, i))
 	}
@@ -93,7 +95,9 @@
 		}
 	}
 	m.updates = updates{}
-	gossip := Gossip{Incarnation: 1, Entries: []Entry{m.table.sorted[5].entry(), m.table.sorted[6].entry()}}
+	known := len(m.View().Members) - 1
+	memory := float64(memoryInUse()-before) / float64(known)
+	gossip := Gossip{Incarnation: firstIncarnation(firstRun), Entries: []Entry{m.table.sorted[5].entry(), m.table.sorted[6].entry()}}
 	second := func() {
 		for range 10 {
 			now = now.Add(tickInterval)
@@ -112,6 +116,14 @@
 		second()
 	}
 	require.Len(b, m.View().Members, 650+7*MaxContacts)
+	b.ReportMetric(memory, "B/known-host")
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
 }
 
 // BenchmarkLargeDomain reports what a host spends in a domain of 650 hosts,
