Guess no target for flows at an address that changed its service

Cause: a release withdrew a service and gave its address to another one. Packets in mid-flow of the former service have no record that counts for the new one, so the base table guessed a target for them, and payload of one customer's flows reached a target of the other customer. The direct way of contested services would do the same. Ruled out: relays by hosts of the older release; those name the service's number and are dropped as foreign. Change: the engine remembers which service held an address last. A service that took an address over is never answered from the base table; its own flows have records. Left: a host that starts after the release does not know the former holder; services with way hash keep no records and are not covered; callers get no reset. Conclusion: an address that passes on takes no flows with it on hosts that saw it pass.

--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -30,6 +30,11 @@
 	entries map[state.ServiceNumber]*state.ServiceEntry
 	// services caches the routes under view by service number.
 	services map[state.ServiceNumber]*serviceRoutes
+	// holders are the last known services by address, withdrawn ones included.
+	holders map[state.ServiceAddress]state.ServiceNumber
+	// inherited holds the services whose address was another service's: packets
+	// in mid-flow without a record may be that one's, so none is guessed.
+	inherited map[state.ServiceNumber]bool
 	// reused holds the withdrawn targets whose address another service has now.
 	reused map[state.TargetNumber]bool
 
@@ -51,6 +56,8 @@
 		customers: newCustomers(settings.NewFlowRate),
 		entries:   make(map[state.ServiceNumber]*state.ServiceEntry),
 		services:  make(map[state.ServiceNumber]*serviceRoutes),
+		holders:   make(map[state.ServiceAddress]state.ServiceNumber),
+		inherited: make(map[state.ServiceNumber]bool),
 	}
 }
 
@@ -74,7 +81,7 @@
 	if entry.Way == state.WayHash {
 		return e.byHash(entry, p)
 	}
-	if entry.Way == state.WayContested {
+	if entry.Way == state.WayContested && !e.inherited[entry.Number] {
 		if d, ok := e.direct(entry, p); ok {
 			return d
 		}
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -84,7 +84,8 @@
 	if known.verdict == relay.VerdictForward && e.snap.Targets[known.target] != nil {
 		return e.forward(f.routes.entry.Number, known.target, ReasonNone)
 	}
-	if known.verdict == relay.VerdictNone && e.belongsToBase(f) {
+	inherited := e.inherited[f.routes.entry.Number]
+	if known.verdict == relay.VerdictNone && !inherited && e.belongsToBase(f) {
 		return e.byBase(f)
 	}
 	hops, position := uint8(0), 0
@@ -144,6 +145,9 @@
 // process nor the owners are new and no failure domain has vanished lately: the
 // record may be elsewhere, and a wrong guess ends the flow.
 func (e *Engine) fallBack(f *flow) Decision {
+	if e.inherited[f.routes.entry.Number] {
+		return drop(ReasonAddressReused)
+	}
 	if !e.settled(f.owners.home) || e.ownersChanged(f) {
 		return drop(ReasonUnsettled)
 	}
--- a/internal/coordination/traffic/snapshot.go
+++ b/internal/coordination/traffic/snapshot.go
@@ -13,14 +13,27 @@
 	e.snap = snap
 	e.reused = reusedAddresses(snap)
 	clear(e.entries)
-	for _, entry := range snap.Services {
+	for address, entry := range snap.Services {
 		e.entries[entry.Number] = entry
+		e.takeAddress(address, entry.Number)
 	}
 	if !sameView {
 		e.view = newViewIndex(e.now, snap, e.view)
 	}
 }
 
+// takeAddress notes which service holds an address and who inherited it.
+func (e *Engine) takeAddress(address state.ServiceAddress, number state.ServiceNumber) {
+	former, known := e.holders[address]
+	if known && former == number {
+		return
+	}
+	e.holders[address] = number
+	if known {
+		e.inherited[number] = true
+	}
+}
+
 // service returns the entry of a service, nil if the release has none.
 func (e *Engine) service(number state.ServiceNumber) *state.ServiceEntry {
 	return e.entries[number]
