Have a woken owner ask the other owner before it trusts its records

Cause: a host that stood still for seconds woke with verdicts that the other owner had since replaced. A first packet in mid-flow cleared the tentative mark before it passed the other owner, so the stale verdict came as a confirmed one and replaced the right one. Openings that had waited in the socket were decided afresh. Ruled out: the fallback on the hosts that were read, and a copy of an opening replacing an open flow, which the record's phase already prevents. Change: the mark stays on the packet that passes the other owner; after a pause each record passes it once as tentative; openings are dropped while packets are held back, and their callers send them again. The pool's test of the hold now sends a packet in mid-flow, and checks besides that an opening is not decided.

--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -23,6 +23,8 @@
 	// now and tick are the time of the current call.
 	now  time.Time
 	tick tick
+	// resumed is when the process last went on after it had stood still.
+	resumed tick
 
 	snap *state.Snapshot
 	view *viewIndex
@@ -210,3 +212,10 @@
 	d.Notices[d.NoticeCount] = Notice{To: to.id, Header: h}
 	d.NoticeCount++
 }
+
+// Resumed tells that the process stood still until now: other hosts may have
+// decided about flows meanwhile, so the records need the other owner's word.
+func (e *Engine) Resumed(now time.Time, snap *state.Snapshot) {
+	e.begin(now, snap)
+	e.resumed = e.tick
+}
--- a/internal/coordination/traffic/owner.go
+++ b/internal/coordination/traffic/owner.go
@@ -75,7 +75,8 @@
 	return e.relayHeader(f, partner, v.header(relay.KindOpening), ReasonToSecond)
 }
 
-// withRecord passes a packet on to the target that its flow's record names.
+// withRecord passes a packet on to the target that its flow's record names. While
+// that is tentative the other owner may overrule it for this very packet.
 func (e *Engine) withRecord(f *flow, r *record) Decision {
 	target := e.snap.Targets[r.target]
 	if target == nil {
@@ -92,16 +93,19 @@
 	if e.silent(f, r, target) {
 		return e.resetSilent(r)
 	}
-	via := e.needsPartner(f, r) && e.canRelay(f)
-	if known && e.settledOpening(f) {
-		r.clear(flagTentative)
+	if r.refreshed < e.resumed {
+		r.set(flagTentative)
 	}
+	via := e.needsPartner(f, r) && e.canRelay(f)
 	var d Decision
 	if via {
 		d = e.relayHeader(f, f.owners.partner(), recordHeader(relay.KindOpening, r), ReasonToSecond)
 	} else {
 		d = e.deliver(r.service, target, ReasonNone)
 	}
+	if known && e.settledOpening(f) {
+		r.clear(flagTentative)
+	}
 	e.repair(f, r, &d)
 	if via {
 		r.refreshed = e.tick
--- a/internal/transport/workers/fence_test.go
+++ b/internal/transport/workers/fence_test.go
@@ -40,13 +40,16 @@
 	})
 	b.pool.fence.pulse(now())
 	pause.Store(int64(2 * release.PauseAfter))
-	send(b.outside, b.pool.settings.Fabric.Address(), opening(t, 40000))
+	send(b.outside, b.pool.settings.Fabric.Address(), opening(t, 39999))
+	send(b.outside, b.pool.settings.Fabric.Address(), segment(t, 40000, false))
 	<-seen
 	b.pool.fence.pulse(now())
 	b.pool.Resume(now())
 	send(b.outside, b.pool.settings.Fabric.Address(), opening(t, 40001))
 	<-seen
 	receive(t, b.outside, 1)
-	require.Equal(t, int64(1), b.counter(t, "held_after_pause"))
+	require.Equal(t, int64(2), b.counter(t, "held_after_pause"), "an opening that the engine did not see, too")
+	require.Equal(t, int64(1), b.engine.resumed.Load())
+	require.Empty(t, seen)
 	require.Equal(t, int64(1), b.counter(t, "forwarded"))
 }
--- a/internal/transport/workers/pool.go
+++ b/internal/transport/workers/pool.go
@@ -47,6 +47,7 @@
 	HandleRecord(now time.Time, snap *state.Snapshot, h relay.Header)
 	Sweep(now time.Time, snap *state.Snapshot, budget int) []traffic.Notice
 	PassOn(now time.Time, snap *state.Snapshot, budget int) (notices []traffic.Notice, done bool)
+	Resumed(now time.Time, snap *state.Snapshot)
 	Len() int
 }
 
--- a/internal/transport/workers/pool_test.go
+++ b/internal/transport/workers/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	decide  func(*traffic.Packet) traffic.Decision
 	records chan relay.Header
 	passed  int
+	resumed atomic.Int64
 }
 
 func (f *fakeEngine) Handle(_ time.Time, _ *state.Snapshot, p *traffic.Packet) traffic.Decision {
@@ -43,6 +45,8 @@
 	f.records <- h
 }
 
+func (f *fakeEngine) Resumed(time.Time, *state.Snapshot) { f.resumed.Add(1) }
+
 func (f *fakeEngine) Sweep(time.Time, *state.Snapshot, int) []traffic.Notice { return nil }
 
 func (f *fakeEngine) PassOn(time.Time, *state.Snapshot, int) ([]traffic.Notice, bool) {
@@ -157,12 +161,18 @@
 }
 
 func opening(t testing.TB, port uint16) []byte {
+	t.Helper()
+	return segment(t, port, true)
+}
+
+// segment returns a TCP packet of a caller, an opening or one in mid-flow.
+func segment(t testing.TB, port uint16, syn bool) []byte {
 	t.Helper()
 	network := &layers.IPv4{
 		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
 		SrcIP: net.IP{192, 0, 2, 1}, DstIP: net.IP{198, 51, 100, 1},
 	}
-	tcp := &layers.TCP{SrcPort: layers.TCPPort(port), DstPort: 443, SYN: true}
+	tcp := &layers.TCP{SrcPort: layers.TCPPort(port), DstPort: 443, SYN: syn, ACK: !syn}
 	require.NoError(t, tcp.SetNetworkLayerForChecksum(network))
 	buffer := gopacket.NewSerializeBuffer()
 	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
--- a/internal/transport/workers/shard.go
+++ b/internal/transport/workers/shard.go
@@ -14,6 +14,8 @@
 	engine Engine
 	output *output
 	batch  []*Job
+	// held is whether packets are held back after a pause.
+	held bool
 	// work is run bound once, so that starting a worker does not allocate.
 	work func()
 
@@ -48,6 +50,7 @@
 		}
 		now := s.pool.settings.Now()
 		s.output.routes = s.pool.routes.Load()
+		s.checkFence(now)
 		for _, job := range jobs {
 			s.handle(now, job)
 		}
@@ -68,16 +71,32 @@
 		s.engine.HandleRecord(now, snapshot, job.Packet.Relay)
 		return
 	}
+	if s.held && job.Packet.Kind == traffic.KindOpening {
+		s.output.counts.event(EventHeld)
+		return
+	}
 	decision := s.engine.Handle(now, snapshot, &job.Packet)
 	s.output.counts.reason(decision.Reason)
 	s.output.notices(decision.Notices[:decision.NoticeCount])
-	if decision.Verb != traffic.VerbRelay && decision.Verb != traffic.VerbDrop && s.pool.fence.up(now) {
+	if s.held && decision.Verb != traffic.VerbRelay && decision.Verb != traffic.VerbDrop {
 		s.output.counts.event(EventHeld)
 		return
 	}
 	s.act(job, &decision)
 }
 
+// checkFence finds out whether packets are held back after a pause of this
+// process. The engine learns of each pause once, before its next packet. Openings
+// may have waited in the socket all the while and be decided elsewhere by now, so
+// they are dropped: their callers send them again.
+func (s *shard) checkFence(now time.Time) {
+	up := s.pool.fence.up(now)
+	if up && !s.held {
+		s.engine.Resumed(now, s.output.routes.Snapshot)
+	}
+	s.held = up
+}
+
 func (s *shard) act(job *Job, decision *traffic.Decision) {
 	switch decision.Verb {
 	case traffic.VerbForward:
