--- a/cmd/guava-standin/main.go
+++ b/cmd/guava-standin/main.go
@@ -22,6 +22,15 @@
 // version is set by the linker.
 var version = "development"
 
+const examples = `
+Examples:
+  guava-standin platform --listen 127.0.0.1:8500 --hosts hosts.json
+  guava-standin upstream --config upstreams.toml
+  guava-standin callers --config callers.toml
+  guava-standin slopes --series flows --out out/slopes --seed 1
+
+scripts/demo.sh writes such files and runs everything.`
+
 // verb is one subcommand: its flags and what it runs.
 type verb interface {
 	subcommand() *flaggy.Subcommand
@@ -33,6 +42,7 @@
 	parser := flaggy.NewParser("guava-standin")
 	parser.Description = "Stand-ins for the platform, upstreams and callers; development and tests only."
 	parser.Version = version
+	parser.AdditionalHelpAppend = examples
 	subcommands := make([]*flaggy.Subcommand, len(verbs))
 	for i, v := range verbs {
 		subcommands[i] = v.subcommand()
--- a/internal/scenarios/scenarios_test.go
+++ b/internal/scenarios/scenarios_test.go
@@ -8,7 +8,7 @@
 //	terminate NAME...          SIGTERM to all, then wait for exit code 0 of all
 //	crash NAME                 SIGKILL, then wait for the end
 //	freeze NAME, thaw NAME     SIGSTOP, SIGCONT
-//	fault JSON                 set the platform's faults; {} clears them
+//	fault JSON                 switch a fault of the platform on; "clear" ends all
 //	poll REGEXP COMMAND...     run the command until its output matches
 //	background NAME BIN ARGS   start another process
 //	finish NAME CODE           wait for a process and check its exit code
@@ -162,8 +162,13 @@
 }
 
 func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
-	body := strings.NewReader(strings.Join(args, " "))
-	answer, err := http.Post(ts.Getenv("PLATFORM")+"/v1/faults", "application/json", body)
+	method, body := http.MethodPost, strings.Join(args, " ")
+	if body == "clear" {
+		method = http.MethodDelete
+	}
+	request, err := http.NewRequest(method, ts.Getenv("PLATFORM")+"/v1/faults", strings.NewReader(body))
+	ts.Check(err)
+	answer, err := http.DefaultClient.Do(request)
 	ts.Check(err)
 	_ = answer.Body.Close()
 	if answer.StatusCode >= http.StatusBadRequest {
