Let openings give way before packets of open flows

Cause: a full queue dropped the newest packet of the longest lane, those of open flows and openings alike. Ruled out: a lower bound for openings, since one customer's burst would then shut out the openings of all. Change: a customer's openings have a lane of their own, with a quarter of the weight in turns and room. fairqueue takes any key.

--- a/internal/coordination/fairqueue/queue.go
+++ b/internal/coordination/fairqueue/queue.go
@@ -1,11 +1,10 @@
-// Package fairqueue holds packets of many customers in front of a worker and
-// hands them out by deficit round robin, so that the largest customer's burst
-// delays itself first. It is pure and not safe for concurrent use.
+// Package fairqueue holds packets in lanes, one for each customer or part of its
+// traffic, in front of a worker and hands them out by deficit round robin, so that
+// the largest customer's burst delays itself first. It is pure and not safe for
+// concurrent use.
 package fairqueue
 
-import "github.com/guavawharf/guavawharf/internal/state"
-
-// quantum is what a customer of weight 1 may send each round, in bytes.
+// quantum is what a lane of weight 1 may send each round, in bytes.
 const quantum = 1500
 
 // entry is one queued item.
@@ -14,7 +13,7 @@
 	size int
 }
 
-// lane is one customer's queue.
+// lane is one queue.
 type lane[T any] struct {
 	entries []entry[T]
 	// head is the index of the first entry still queued.
@@ -27,11 +26,11 @@
 // length returns the number of entries queued.
 func (l *lane[T]) length() int { return len(l.entries) - l.head }
 
-// Queue is a bounded set of per-customer queues.
-type Queue[T any] struct {
+// Queue is a bounded set of lanes, each with a key.
+type Queue[K comparable, T any] struct {
 	limit  int
 	length int
-	lanes  map[state.CustomerID]*lane[T]
+	lanes  map[K]*lane[T]
 	// ring holds the lanes with entries in the order of their turns.
 	ring []*lane[T]
 	// turn is true while the first lane of ring has its turn.
@@ -39,21 +38,21 @@
 }
 
 // New returns a queue of at most limit items.
-func New[T any](limit int) *Queue[T] {
-	return &Queue[T]{limit: limit, lanes: make(map[state.CustomerID]*lane[T])}
+func New[K comparable, T any](limit int) *Queue[K, T] {
+	return &Queue[K, T]{limit: limit, lanes: make(map[K]*lane[T])}
 }
 
 // Len returns the number of items queued.
-func (q *Queue[T]) Len() int { return q.length }
+func (q *Queue[K, T]) Len() int { return q.length }
 
 // Push queues an item of a size in bytes. When the queue is full, the newest
 // item of the longest lane, relative to its weight, gives way: dropped is that
 // item, which may be the pushed one, and ok is false if nothing was dropped.
-func (q *Queue[T]) Push(customer state.CustomerID, weight uint32, size int, item T) (dropped T, ok bool) {
-	l := q.lanes[customer]
+func (q *Queue[K, T]) Push(key K, weight uint32, size int, item T) (dropped T, ok bool) {
+	l := q.lanes[key]
 	if l == nil {
 		l = &lane[T]{}
-		q.lanes[customer] = l
+		q.lanes[key] = l
 	}
 	l.weight = int(max(weight, 1))
 	l.entries = append(l.entries, entry[T]{item: item, size: size})
@@ -69,7 +68,7 @@
 }
 
 // dropLongest removes the newest item of the longest lane.
-func (q *Queue[T]) dropLongest() T {
+func (q *Queue[K, T]) dropLongest() T {
 	longest := q.ring[0]
 	for _, l := range q.ring[1:] {
 		if l.length()*longest.weight > longest.length()*l.weight {
@@ -85,7 +84,7 @@
 }
 
 // Pop returns the next item; ok is false when the queue is empty.
-func (q *Queue[T]) Pop() (item T, ok bool) {
+func (q *Queue[K, T]) Pop() (item T, ok bool) {
 	for len(q.ring) > 0 {
 		l := q.ring[0]
 		if l.length() == 0 {
@@ -111,7 +110,7 @@
 }
 
 // retire takes an empty lane off the ring.
-func (q *Queue[T]) retire(l *lane[T]) {
+func (q *Queue[K, T]) retire(l *lane[T]) {
 	q.ring = q.ring[1:]
 	q.turn = false
 	l.active = false
--- a/internal/coordination/fairqueue/queue_test.go
+++ b/internal/coordination/fairqueue/queue_test.go
@@ -18,7 +18,7 @@
 func TestQueueKeepsOrderAndBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 20
-		q := New[packet](limit)
+		q := New[state.CustomerID, packet](limit)
 		held := make(map[packet]bool)
 		last := make(map[state.CustomerID]int)
 		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -47,7 +47,7 @@
 }
 
 func TestBurstDelaysItself(t *testing.T) {
-	q := New[packet](1000)
+	q := New[state.CustomerID, packet](1000)
 	for i := range 5000 {
 		q.Push("large", 1, 1500, packet{"large", i})
 	}
@@ -67,7 +67,7 @@
 }
 
 func TestWeightsShareBytes(t *testing.T) {
-	q := New[packet](10_000)
+	q := New[state.CustomerID, packet](10_000)
 	for i := range 2000 {
 		q.Push("light", 1, 500, packet{"light", i})
 		q.Push("heavy", 3, 1000, packet{"heavy", i})
--- a/internal/transport/workers/queue.go
+++ b/internal/transport/workers/queue.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/fairqueue"
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
+	"github.com/guavawharf/guavawharf/internal/state"
 )
 
 // queue is the bounded queue of one shard, fair among customers. It also knows
@@ -11,14 +13,34 @@
 // one.
 type queue struct {
 	mu     sync.Mutex
-	jobs   *fairqueue.Queue[*Job]
+	jobs   *fairqueue.Queue[laneKey, *Job]
 	active bool
 	// sweep is set when a sweep is due.
 	sweep bool
 }
 
+// openFlowWeight is how much more of a customer's turn and room packets of open
+// flows get than openings, so that a full queue loses openings first.
+const openFlowWeight = 4
+
+// laneKey tells the lanes of a shard's queue apart.
+type laneKey struct {
+	customer state.CustomerID
+	openings bool
+}
+
+// place returns the job's lane and the weight of that lane.
+func (j *Job) place() (laneKey, uint32) {
+	key := laneKey{customer: j.lane.customer}
+	key.openings = !j.Record && j.Packet.Kind == traffic.KindOpening
+	if key.openings {
+		return key, j.lane.weight
+	}
+	return key, j.lane.weight * openFlowWeight
+}
+
 func newQueue(length int) *queue {
-	return &queue{jobs: fairqueue.New[*Job](length)}
+	return &queue{jobs: fairqueue.New[laneKey, *Job](length)}
 }
 
 // put adds jobs. It returns the jobs that had to give way, appended to dropped,
@@ -27,7 +49,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, job := range jobs {
-		lost, full := q.jobs.Push(job.lane.customer, job.lane.weight, job.cost(), job)
+		key, weight := job.place()
+		lost, full := q.jobs.Push(key, weight, job.cost(), job)
 		if full {
 			dropped = append(dropped, lost)
 		}
--- a/internal/transport/workers/queue_test.go
+++ b/internal/transport/workers/queue_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
 )
 
 // TestQueueHasOneActiveWorker drives a queue against a model.
@@ -63,6 +65,25 @@
 	require.Subset(t, jobs, other)
 }
 
+// TestOpeningsGiveWayToOpenFlows fills the queue with openings of the customer
+// that also has open flows.
+func TestOpeningsGiveWayToOpenFlows(t *testing.T) {
+	const length = 100
+	q := newQueue(length)
+	openings, open := newJobs(10*length), newJobs(length/2)
+	for _, job := range open {
+		job.Packet.Kind = traffic.KindData
+	}
+	_, _ = q.put(openings, nil)
+	dropped, _ := q.put(open, nil)
+	require.Len(t, dropped, len(open))
+	require.Subset(t, openings, dropped)
+	dropped, _ = q.put(newJobs(length), nil)
+	for _, job := range dropped {
+		require.Equal(t, traffic.KindOpening, job.Packet.Kind)
+	}
+}
+
 // jobCount numbers the jobs, so that none equals another.
 var jobCount atomic.Int64
 
