--- /dev/null
+++ b/internal/scenarios/quickstart_test.go
@@ -0,0 +1,39 @@
+package scenarios
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// blocks returns the shell blocks of a Markdown page.
+func blocks(page string) []string {
+	var found []string
+	for _, part := range strings.Split(page, "```sh\n")[1:] {
+		block, _, _ := strings.Cut(part, "```")
+		found = append(found, block)
+	}
+	return found
+}
+
+// TestTheQuickstartRunsAsPrinted runs the commands of the page in one shell. The
+// first block builds the programs, as TestMain has done.
+func TestTheQuickstartRunsAsPrinted(t *testing.T) {
+	t.Parallel()
+	page, err := os.ReadFile("../../docs/quickstart.md")
+	require.NoError(t, err)
+	commands := blocks(string(page))
+	require.Greater(t, len(commands), 2)
+	script := "set -euo pipefail\ntrap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n" + strings.Join(commands[1:], "\n")
+	shell := exec.Command("bash", "-c", script)
+	shell.Dir = t.TempDir()
+	shell.Env = append(os.Environ(), "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
+	output, err := shell.CombinedOutput()
+	require.NoError(t, err, string(output))
+	for _, line := range []string{"first  in force", "drain-feed-2  in force", "deposits"} {
+		require.Contains(t, string(output), line)
+	}
+}
