--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,6 +16,7 @@
 # hash keeps no records, so that the second note breaks flows and the demo fails.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/hosts.sh
 
 net=${DEMO_NET:-127.77}
 seed=${DEMO_SEED:-1}
@@ -94,38 +95,10 @@
 	local entry id number domain
 	for entry in "${hosts[@]}"; do
 		IFS=: read -r id number domain <<<"$entry"
-		cat <<-TOML
-
-			[[membership.seeds]]
-			id = "$id"
-			domain = "$domain"
-			packets = "$net.1.$number:6080"
-			relay = "$net.1.$number:6081"
-			control = "$net.1.$number:6082"
-		TOML
+		seed_entry "$id" "$number" "$domain"
 	done
 }
 
-# host_settings ID NUMBER DOMAIN prints the settings of one entry host.
-host_settings() {
-	cat <<-TOML
-		[host]
-		id = "$1"
-		domain = "$3"
-		packets = "$net.1.$2:6080"
-		relay = "$net.1.$2:6081"
-		control = "$net.1.$2:6082"
-		metrics = "$net.1.$2:6083"
-
-		[fabric]
-		return = "$return_address"
-
-		[platform]
-		url = "$platform"
-	TOML
-	seeds
-}
-
 # host_list GONE prints the platform's list of entry hosts; GONE is leaving.
 host_list() {
 	local entry id number domain gone separator=""
@@ -306,7 +279,7 @@
 start upstreams ./bin/guava-standin upstream --config "$dir/upstreams.toml"
 for entry in "${hosts[@]}"; do
 	IFS=: read -r id number domain <<<"$entry"
-	host_settings "$id" "$number" "$domain" >"$dir/$id.toml"
+	{ host_settings "$id" "$number" "$domain" && seeds; } >"$dir/$id.toml"
 	start "$id" ./bin/guavad --config "$dir/$id.toml"
 done
 for entry in "${hosts[@]}"; do
--- a/scripts/planned.sh
+++ b/scripts/planned.sh
@@ -9,10 +9,12 @@
 # PLANNED_NET sets the first two bytes of the loopback addresses.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/hosts.sh
 
 rest=${1:-30}
 net=${PLANNED_NET:-127.78}
 platform=http://$net.0.1:7900
+return_address=$net.0.3:7902
 notes=12
 services=300
 targets=2250
@@ -29,37 +31,6 @@
 }
 trap stop_all EXIT
 
-# host_settings ID NUMBER DOMAIN prints the settings of one entry host.
-host_settings() {
-	local seed
-	cat <<-TOML
-		[host]
-		id = "$1"
-		domain = "$3"
-		packets = "$net.1.$2:6080"
-		relay = "$net.1.$2:6081"
-		control = "$net.1.$2:6082"
-		metrics = "$net.1.$2:6083"
-
-		[fabric]
-		return = "$net.0.3:7902"
-
-		[platform]
-		url = "$platform"
-	TOML
-	for seed in 1 2; do
-		cat <<-TOML
-
-			[[membership.seeds]]
-			id = "h$seed"
-			domain = "domain-$seed"
-			packets = "$net.1.$seed:6080"
-			relay = "$net.1.$seed:6081"
-			control = "$net.1.$seed:6082"
-		TOML
-	done
-}
-
 # note N prints the n-th note, from 0.
 note() {
 	printf 'id = "planned-%d"\nbase = %d\n' "$1" "$1"
@@ -96,7 +67,11 @@
 ./bin/guava-standin platform --listen "$net.0.1:7900" 2>"$dir/platform.log" &
 pids+=($!)
 for number in 1 2; do
-	host_settings "h$number" "$number" "domain-$number" >"$dir/h$number.toml"
+	{
+		host_settings "h$number" "$number" "domain-$number"
+		seed_entry h1 1 domain-1
+		seed_entry h2 2 domain-2
+	} >"$dir/h$number.toml"
 	./bin/guavad --config "$dir/h$number.toml" 2>"$dir/h$number.log" &
 	pids+=($!)
 done
