Run every test anew in make test

Cause: the scenarios build and run the programs, which the cache of test results does not see; a change of a program alone left them cached.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 test:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "skipped, known to fail:"; cat KNOWN-RED.txt; fi
-	$(GO) test -timeout 30m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -count=1 -timeout 30m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 lint:
 	@unformatted=$$(gofmt -l cmd internal); \
