Give each daemon under test addresses of its own

Cause: the tests asked the kernel for a free port and gave it back; another test's connection took it in between (TestDocumentationNamesWhatIsShown, once in a whole run: bind: address already in use). Ruled out: a socket left open by a daemon before; the port was an ephemeral one. Change: a loopback address for each call and process, with a port below the ephemeral ones; the rpc test of an unreachable peer likewise.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,24 +23,29 @@
 	"github.com/guavawharf/guavawharf/internal/transport/rpc"
 )
 
-// freeAddress returns an address that nothing listens on, for UDP and TCP.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+// testPort is below the ports that the kernel gives to outgoing connections.
+const testPort = 7000
+
+// addresses counts the loopback addresses handed out.
+var addresses atomic.Uint32
+
+// ownAddress returns an address that nothing else of this machine uses: each call
+// and each test process has its own in 127.0.0.0/8.
+func ownAddress() netip.AddrPort {
+	n := addresses.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, byte(2 + os.Getpid()%250), byte(n >> 8), byte(n)})
+	return netip.AddrPortFrom(ip, testPort)
 }
 
-func testSettings(t *testing.T) settings.Settings {
+func testSettings() settings.Settings {
 	return settings.Settings{
 		Host: state.Host{
 			ID: "a1", Domain: "a",
-			Packets: freeAddress(t), Relay: freeAddress(t), Control: freeAddress(t),
+			Packets: ownAddress(), Relay: ownAddress(), Control: ownAddress(),
 		},
-		Metrics:       freeAddress(t),
-		Return:        freeAddress(t),
-		Platform:      settings.Platform{URL: "http://" + freeAddress(t).String(), Timeout: time.Second},
+		Metrics:       ownAddress(),
+		Return:        ownAddress(),
+		Platform:      settings.Platform{URL: "http://" + ownAddress().String(), Timeout: time.Second},
 		Traffic:       settings.Traffic{Workers: 2, MaxFlows: 1000},
 		LeaveDeadline: settings.DefaultLeaveDeadline,
 	}
@@ -54,7 +61,7 @@
 
 func start(t *testing.T) *running {
 	t.Helper()
-	r := &running{settings: testSettings(t), leave: make(chan struct{}, 1), done: make(chan struct{})}
+	r := &running{settings: testSettings(), leave: make(chan struct{}, 1), done: make(chan struct{})}
 	d, err := New(r.settings, slog.New(slog.NewJSONHandler(&r.log, nil)))
 	require.NoError(t, err)
 	go func() {
@@ -165,7 +172,7 @@
 
 func TestAnAddressInUseIsAnErrorAndLeavesNothingOpen(t *testing.T) {
 	t.Parallel()
-	s := testSettings(t)
+	s := testSettings()
 	taken, err := net.Listen("tcp", s.Metrics.String())
 	require.NoError(t, err)
 	defer func() { _ = taken.Close() }()
--- a/internal/transport/rpc/rpc_test.go
+++ b/internal/transport/rpc/rpc_test.go
@@ -131,7 +131,7 @@
 }
 
 func TestUnreachablePeerDropsWhatIsQueued(t *testing.T) {
-	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	gone, err := net.Listen("tcp", "127.1.1.1:7000")
 	require.NoError(t, err)
 	to := state.Host{ID: "b", Control: netip.MustParseAddrPort(gone.Addr().String())}
 	require.NoError(t, gone.Close())
