Run the other operator of a test in the caller's goroutine

Cause: the race detector found the fake platform of package ctl used by a timer's goroutine. Ruled out: a race in the package itself, which has one goroutine. Conclusion: the tests pass under -race; what they check is as before.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -86,7 +86,8 @@
 			file := noteFile(t, firstNote)
 			synctest.Test(t, func(t *testing.T) {
 				platform := newFakePlatform()
-				time.AfterFunc(time.Second, func() { c.decide(t, platform) })
+				platform.due = time.Now().Add(time.Second)
+				platform.event = func() { c.decide(t, platform) }
 				code, out, _ := run(t, platform, Options{Verb: VerbApply, File: file, Wait: 3 * time.Second})
 				require.Equal(t, c.code, code, out)
 				require.Contains(t, out, c.word)
--- a/internal/ctl/platform_test.go
+++ b/internal/ctl/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
@@ -17,6 +18,9 @@
 	down   bool
 	// beforePut runs ahead of each write, as another operator would.
 	beforePut func(call objects.Call)
+	// event runs ahead of the first call from due on.
+	event func()
+	due   time.Time
 }
 
 func newFakePlatform() *fakePlatform {
@@ -24,6 +28,10 @@
 }
 
 func (f *fakePlatform) Do(_ context.Context, call objects.Call) objects.Outcome {
+	if event := f.event; event != nil && !time.Now().Before(f.due) {
+		f.event = nil
+		event()
+	}
 	if f.down {
 		return objects.Outcome{Result: objects.ResultUnknown}
 	}
