--- a/internal/coordination/release/checkpoint.go
+++ b/internal/coordination/release/checkpoint.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -41,19 +40,6 @@
 	return parts
 }
 
-// join puts the parts of a checkpoint together; nil when some are missing.
-func join(parts []objects.Checkpoint) *state.Release {
-	if len(parts) == 0 || len(parts) != parts[0].Parts {
-		return nil
-	}
-	slices.SortFunc(parts, func(a, b objects.Checkpoint) int { return a.Part - b.Part })
-	whole := parts[0].Release
-	for _, part := range parts[1:] {
-		whole.Services = append(whole.Services, part.Release.Services...)
-	}
-	return &whole
-}
-
 // checkpoint writes a checkpoint when one is due. The parts come first, then
 // the head names the checkpoint; each write may be repeated.
 func (m *Machine) checkpoint(now time.Time) {
@@ -103,7 +89,7 @@
 		}
 		parts = append(parts, part)
 	}
-	if whole := join(parts); whole != nil {
+	if whole := objects.JoinCheckpoint(parts); whole != nil {
 		m.install(now, whole)
 	}
 }
