--- a/internal/protocol/note/describe.go
+++ b/internal/protocol/note/describe.go
@@ -17,20 +17,19 @@
 	formChoice   = "choice"
 	formBool     = "true or false"
 
-	rangeName    = "1 to 63 letters, digits, `-`, `_` or `.`"
+	rangeName    = tomldoc.NameRange
 	rangeAddress = "a numeric IP address with a port from 1 to 65535"
-	unchanged    = "unchanged"
 )
 
 // Describe returns every key of a note in the order of the documentation.
 func Describe() []tomldoc.Key {
 	keys := []tomldoc.Key{
 		{Name: "id", Unit: formName, Range: rangeName, Meaning: "Unique name of the note; the same id is never applied twice."},
-		{Name: "base", Unit: "release", Range: span(0, maxVersion), Meaning: "Release that the note changes; 0 for the first note."},
-		{Name: "deadline", Unit: formDuration, Default: DefaultDeadline.String(), Range: span(MinDeadline, MaxDeadline), Meaning: "How long staging may take before the note is refused everywhere."},
-		{Name: "without", Unit: formNames, Default: "none", Range: rangeName, Meaning: "Failure domains that the note goes ahead without."},
+		{Name: "base", Unit: "release", Range: tomldoc.Span(0, maxVersion), Meaning: "Release that the note changes; 0 for the first note."},
+		{Name: "deadline", Unit: formDuration, Default: DefaultDeadline.String(), Range: tomldoc.Span(MinDeadline, MaxDeadline), Meaning: "How long staging may take before the note is refused everywhere."},
+		{Name: "without", Unit: formNames, Default: tomldoc.None, Range: rangeName, Meaning: "Failure domains that the note goes ahead without."},
 		{Name: "set.customer[].id", Unit: formName, Range: rangeName, Meaning: "Customer to add or change."},
-		{Name: "set.customer[].weight", Unit: formCount, Default: "1", Range: span(state.MinWeight, maxCustomerWeight), Meaning: "Weight of the customer's max-min share."},
+		{Name: "set.customer[].weight", Unit: formCount, Default: "1", Range: tomldoc.Span(state.MinWeight, maxCustomerWeight), Meaning: "Weight of the customer's max-min share."},
 		{Name: "add.domain[].id", Unit: formName, Range: rangeName, Meaning: "Failure domain that takes part in releases from now on."},
 	}
 	keys = append(keys, describeServices()...)
@@ -50,17 +49,17 @@
 		{Name: "add.service[].protocol", Unit: formChoice, Default: "tcp", Range: "`tcp` or `udp`", Meaning: "Transport protocol."},
 		{Name: "add.service[].address", Unit: formAddress, Range: rangeAddress, Meaning: "Destination of callers' packets."},
 		{Name: "add.service[].way", Unit: formChoice, Default: WayOwner, Range: ways, Meaning: "How flows find their target."},
-		{Name: "add.service[].idle_timeout", Unit: formDuration, Default: DefaultIdleTimeout.String(), Range: span(MinIdleTimeout, MaxIdleTimeout), Meaning: "When a flow that sends nothing is forgotten."},
+		{Name: "add.service[].idle_timeout", Unit: formDuration, Default: DefaultIdleTimeout.String(), Range: tomldoc.Span(MinIdleTimeout, MaxIdleTimeout), Meaning: "When a flow that sends nothing is forgotten."},
 		{Name: "change.service[].id", Unit: formName, Range: rangeName, Meaning: "Existing service to change."},
-		{Name: "change.service[].way", Unit: formChoice, Default: unchanged, Range: ways, Meaning: "How flows find their target."},
-		{Name: "change.service[].idle_timeout", Unit: formDuration, Default: unchanged, Range: span(MinIdleTimeout, MaxIdleTimeout), Meaning: "When a flow that sends nothing is forgotten."},
+		{Name: "change.service[].way", Unit: formChoice, Default: tomldoc.Unchanged, Range: ways, Meaning: "How flows find their target."},
+		{Name: "change.service[].idle_timeout", Unit: formDuration, Default: tomldoc.Unchanged, Range: tomldoc.Span(MinIdleTimeout, MaxIdleTimeout), Meaning: "When a flow that sends nothing is forgotten."},
 	}
 }
 
 func describeTargets() []tomldoc.Key {
-	weights := span(state.MinWeight, state.MaxWeight)
-	slots := span(1, maxSlots)
-	connections := span(1, maxConnections)
+	weights := tomldoc.Span(state.MinWeight, state.MaxWeight)
+	slots := tomldoc.Span(1, maxSlots)
+	connections := tomldoc.Span(1, maxConnections)
 	return []tomldoc.Key{
 		{Name: "add.target[].id", Unit: formName, Range: rangeName, Meaning: "Unique name of the target."},
 		{Name: "add.target[].service", Unit: formName, Range: rangeName, Meaning: "Service that the target answers for."},
@@ -70,13 +69,9 @@
 		{Name: "add.target[].slots", Unit: formCount, Default: fmt.Sprint(DefaultSlots), Range: slots, Meaning: "Requests that the target works on at once."},
 		{Name: "add.target[].connections", Unit: formCount, Default: fmt.Sprint(DefaultConnections), Range: connections, Meaning: "Open flows that the target takes."},
 		{Name: "change.target[].id", Unit: formName, Range: rangeName, Meaning: "Existing target to change."},
-		{Name: "change.target[].weight", Unit: formCount, Default: unchanged, Range: weights, Meaning: "Scales the target's share of new flows."},
-		{Name: "change.target[].slots", Unit: formCount, Default: unchanged, Range: slots, Meaning: "Requests that the target works on at once."},
-		{Name: "change.target[].connections", Unit: formCount, Default: unchanged, Range: connections, Meaning: "Open flows that the target takes."},
-		{Name: "change.target[].leaving", Unit: formBool, Default: unchanged, Range: "`true` or `false`", Meaning: "A leaving target keeps its open flows and gets no new ones."},
+		{Name: "change.target[].weight", Unit: formCount, Default: tomldoc.Unchanged, Range: weights, Meaning: "Scales the target's share of new flows."},
+		{Name: "change.target[].slots", Unit: formCount, Default: tomldoc.Unchanged, Range: slots, Meaning: "Requests that the target works on at once."},
+		{Name: "change.target[].connections", Unit: formCount, Default: tomldoc.Unchanged, Range: connections, Meaning: "Open flows that the target takes."},
+		{Name: "change.target[].leaving", Unit: formBool, Default: tomldoc.Unchanged, Range: "`true` or `false`", Meaning: "A leaving target keeps its open flows and gets no new ones."},
 	}
 }
-
-func span[T any](low, high T) string {
-	return fmt.Sprintf("%v to %v", low, high)
-}
--- a/internal/protocol/settings/describe.go
+++ b/internal/protocol/settings/describe.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/tomldoc"
 )
 
 // Defaults.
@@ -32,20 +34,6 @@
 // logLevels are the allowed levels, lowest first.
 var logLevels = []string{"debug", "info", "warn", "error"}
 
-// Key describes one key of the settings.
-type Key struct {
-	// Name is the dotted key; [] marks an array of tables.
-	Name string
-	// Unit is the unit or form of the value.
-	Unit string
-	// Default is empty for required keys.
-	Default string
-	// Range is what is allowed.
-	Range string
-	// Meaning is one sentence.
-	Meaning string
-}
-
 // Forms of values.
 const (
 	formName     = "name"
@@ -55,39 +43,35 @@
 
 	formPerSecond = "count a second"
 
-	rangeName    = "1 to 63 letters, digits, `-`, `_` or `.`"
+	rangeName    = tomldoc.NameRange
 	rangeAddress = "a numeric IP address that is not unspecified, with a port from 1 to 65535"
 )
 
 // Describe returns every key in the order of the documentation.
-func Describe() []Key {
+func Describe() []tomldoc.Key {
 	keys := hostKeys("host", "this host")
 	keys = append(keys,
-		Key{"host.metrics", formAddress, "", rangeAddress, "Where the expvar page is served over HTTP, at `/debug/vars`."},
-		Key{"fabric.return", formAddress, "", rangeAddress, "Where packets to callers are sent, as IP inside UDP."},
-		Key{"platform.url", "URL", "", "http or https with a host", "Base URL of the platform's object API."},
-		Key{"platform.timeout", formDuration, DefaultPlatformTimeout.String(), span(minPlatformTimeout, maxPlatformTimeout), "Timeout of one call to the platform, watches excepted."},
+		tomldoc.Key{Name: "host.metrics", Unit: formAddress, Range: rangeAddress, Meaning: "Where the expvar page is served over HTTP, at `/debug/vars`."},
+		tomldoc.Key{Name: "fabric.return", Unit: formAddress, Range: rangeAddress, Meaning: "Where packets to callers are sent, as IP inside UDP."},
+		tomldoc.Key{Name: "platform.url", Unit: "URL", Range: "http or https with a host", Meaning: "Base URL of the platform's object API."},
+		tomldoc.Key{Name: "platform.timeout", Unit: formDuration, Default: DefaultPlatformTimeout.String(), Range: tomldoc.Span(minPlatformTimeout, maxPlatformTimeout), Meaning: "Timeout of one call to the platform, watches excepted."},
 	)
 	keys = append(keys, hostKeys("membership.seeds[]", "a host to join through")...)
 	return append(keys,
-		Key{"traffic.workers", formCount, fmt.Sprint(DefaultWorkers), span(minWorkers, maxWorkers), "Number of shards of the packet path; each runs on one worker at a time."},
-		Key{"traffic.max_flows", formCount, fmt.Sprint(DefaultMaxFlows), span(minMaxFlows, maxMaxFlows), "Largest number of flow records on this host; new flows above it are refused."},
-		Key{"traffic.max_new_flows", formPerSecond, fmt.Sprint(DefaultMaxNewFlows), span(minMaxNewFlows, maxMaxNewFlows), "Most new flows a second that this host places, shared among customers; others are refused."},
-		Key{"leave.deadline", formDuration, DefaultLeaveDeadline.String(), span(minLeaveDeadline, maxLeaveDeadline), "Longest time that a graceful shutdown may take."},
-		Key{"log.level", "level", DefaultLogLevel, "debug, info, warn or error", "Lowest level that is logged."},
+		tomldoc.Key{Name: "traffic.workers", Unit: formCount, Default: fmt.Sprint(DefaultWorkers), Range: tomldoc.Span(minWorkers, maxWorkers), Meaning: "Number of shards of the packet path; each runs on one worker at a time."},
+		tomldoc.Key{Name: "traffic.max_flows", Unit: formCount, Default: fmt.Sprint(DefaultMaxFlows), Range: tomldoc.Span(minMaxFlows, maxMaxFlows), Meaning: "Largest number of flow records on this host; new flows above it are refused."},
+		tomldoc.Key{Name: "traffic.max_new_flows", Unit: formPerSecond, Default: fmt.Sprint(DefaultMaxNewFlows), Range: tomldoc.Span(minMaxNewFlows, maxMaxNewFlows), Meaning: "Most new flows a second that this host places, shared among customers; others are refused."},
+		tomldoc.Key{Name: "leave.deadline", Unit: formDuration, Default: DefaultLeaveDeadline.String(), Range: tomldoc.Span(minLeaveDeadline, maxLeaveDeadline), Meaning: "Longest time that a graceful shutdown may take."},
+		tomldoc.Key{Name: "log.level", Unit: "level", Default: DefaultLogLevel, Range: "debug, info, warn or error", Meaning: "Lowest level that is logged."},
 	)
 }
 
-func hostKeys(prefix, host string) []Key {
-	return []Key{
-		{prefix + ".id", formName, "", rangeName, "Unique name of " + host + "."},
-		{prefix + ".domain", formName, "", rangeName, "Failure domain of " + host + "."},
-		{prefix + ".packets", formAddress, "", rangeAddress, "Where " + host + " receives callers' packets (UDP)."},
-		{prefix + ".relay", formAddress, "", rangeAddress, "Where " + host + " receives packets and records from other entry hosts (UDP)."},
-		{prefix + ".control", formAddress, "", rangeAddress, "Where " + host + " serves control and operators (TCP)."},
+func hostKeys(prefix, host string) []tomldoc.Key {
+	return []tomldoc.Key{
+		{Name: prefix + ".id", Unit: formName, Range: rangeName, Meaning: "Unique name of " + host + "."},
+		{Name: prefix + ".domain", Unit: formName, Range: rangeName, Meaning: "Failure domain of " + host + "."},
+		{Name: prefix + ".packets", Unit: formAddress, Range: rangeAddress, Meaning: "Where " + host + " receives callers' packets (UDP)."},
+		{Name: prefix + ".relay", Unit: formAddress, Range: rangeAddress, Meaning: "Where " + host + " receives packets and records from other entry hosts (UDP)."},
+		{Name: prefix + ".control", Unit: formAddress, Range: rangeAddress, Meaning: "Where " + host + " serves control and operators (TCP)."},
 	}
 }
-
-func span[T any](low, high T) string {
-	return fmt.Sprintf("%v to %v", low, high)
-}
--- a/internal/protocol/settings/docs_test.go
+++ b/internal/protocol/settings/docs_test.go
@@ -6,30 +6,16 @@
 	"strings"
 	"testing"
 
+	"github.com/guavawharf/guavawharf/internal/protocol/tomldoc"
 	"github.com/stretchr/testify/require"
 )
 
 const docsPath = "../../../docs/configuration.md"
 
-// renderTable returns the table of the documentation.
-func renderTable() string {
-	var table strings.Builder
-	table.WriteString("| key | form | default | allowed | meaning |\n")
-	table.WriteString("|---|---|---|---|---|\n")
-	for _, key := range Describe() {
-		byDefault := "required"
-		if key.Default != "" {
-			byDefault = "`" + key.Default + "`"
-		}
-		fmt.Fprintf(&table, "| `%s` | %s | %s | %s | %s |\n", key.Name, key.Unit, byDefault, key.Range, key.Meaning)
-	}
-	return table.String()
-}
-
 func TestDocumentationHoldsEveryKey(t *testing.T) {
 	page, err := os.ReadFile(docsPath)
 	require.NoError(t, err)
-	require.Contains(t, string(page), renderTable())
+	require.Contains(t, string(page), tomldoc.MarkdownTable(Describe()))
 }
 
 func TestDocumentationsExampleIsValid(t *testing.T) {
