--- a/internal/coordination/control/flowmatrix_test.go
+++ b/internal/coordination/control/flowmatrix_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -122,20 +121,16 @@
 
 func playFlows(t *testing.T, heavy bool) {
 	cells := flowCells(*matrixSeeds, *matrixFirst, heavy)
-	results := make([][]string, len(cells))
-	parallel(len(cells), func(i int) {
-		results[i] = cells[i].play(t)
-		cells[i].w = nil
+	failures := failuresOf(cells, func(c *flowCell) []string {
+		broken := c.play(t)
+		c.w = nil
+		return broken
 	})
-	failures := 0
-	for i, broken := range results {
-		if len(broken) > 0 {
-			failures++
-			t.Errorf("%s: %s", cells[i].String(), strings.Join(broken, "; "))
-		}
+	for _, failure := range failures {
+		t.Error(failure)
 	}
 	t.Logf("cells %d, steps %d, seeds %d from %d, failures %d",
-		len(cells), len(flowSteps), *matrixSeeds, *matrixFirst, failures)
+		len(cells), len(flowSteps), *matrixSeeds, *matrixFirst, len(failures))
 }
 
 // TestFlowMatrixCatchesASingleOwner shows that the checks notice hosts that keep
--- a/internal/coordination/control/hostmatrix_test.go
+++ b/internal/coordination/control/hostmatrix_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -193,18 +192,14 @@
 // leaves.
 func TestHostMatrix(t *testing.T) {
 	cells := hostCells(*matrixSeeds, *matrixFirst)
-	results := make([][]string, len(cells))
-	parallel(len(cells), func(i int) {
-		results[i] = cells[i].play(t)
-		cells[i].w = nil
+	failures := failuresOf(cells, func(c *hostCell) []string {
+		broken := c.play(t)
+		c.w = nil
+		return broken
 	})
-	failures := 0
-	for i, broken := range results {
-		if len(broken) > 0 {
-			failures++
-			t.Errorf("%s: %s", cells[i], strings.Join(broken, "; "))
-		}
+	for _, failure := range failures {
+		t.Error(failure)
 	}
 	t.Logf("cells %d, steps %d, faults %d, seeds %d from %d, failures %d",
-		len(cells), len(hostSteps["joins"])+len(hostSteps["leaves"]), len(faults), *matrixSeeds, *matrixFirst, failures)
+		len(cells), len(hostSteps["joins"])+len(hostSteps["leaves"]), len(faults), *matrixSeeds, *matrixFirst, len(failures))
 }
--- a/internal/coordination/control/matrix_test.go
+++ b/internal/coordination/control/matrix_test.go
@@ -274,14 +274,23 @@
 }
 
 func runCells(t *testing.T, cells []*cell, variant release.Variant) []string {
+	return failuresOf(cells, func(c *cell) []string {
+		broken := c.run(t, variant)
+		c.w = nil
+		return broken
+	})
+}
+
+// failuresOf plays cells side by side and returns a line for each that broke a
+// promise, in their order.
+func failuresOf[C fmt.Stringer](cells []C, play func(C) []string) []string {
 	results := make([][]string, len(cells))
-	parallel(len(cells), func(i int) { results[i] = cells[i].run(t, variant) })
+	parallel(len(cells), func(i int) { results[i] = play(cells[i]) })
 	var failures []string
 	for i, broken := range results {
 		if len(broken) > 0 {
 			failures = append(failures, cells[i].String()+": "+strings.Join(broken, "; "))
 		}
-		cells[i].w = nil
 	}
 	return failures
 }
