--- a/cmd/guavactl/main.go
+++ b/cmd/guavactl/main.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/ctl"
-	"github.com/guavawharf/guavawharf/internal/transport/platform"
 	"github.com/guavawharf/guavawharf/internal/transport/rpc"
+	"github.com/guavawharf/guavawharf/internal/transport/store"
 )
 
 // version is set by the linker.
@@ -30,8 +30,8 @@
 func run(options ctl.Options) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	settings := platform.Settings{Address: options.PlatformURL, Timeout: options.Timeout}
-	client := platform.NewClient(settings, new(expvar.Map))
+	settings := store.Settings{Address: options.PlatformURL, Timeout: options.Timeout}
+	client := store.NewClient(settings, new(expvar.Map))
 	defer client.Close()
 	command := ctl.NewCommand(options, client, rpc.Call, os.Stdout, os.Stderr, time.Now)
 	return command.Run(ctx)
--- /dev/null
+++ b/internal/coordination/follow/follow.go
@@ -0,0 +1,160 @@
+// Package follow decides when and how to read one kind of objects from the
+// store, so that a change there is known within a bound on every kind of outage.
+// A list is followed by watches that each wait for a bounded time only: a watch
+// that hears nothing may have been cut off without a sign.
+package follow
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Settings of a Follower.
+type Settings struct {
+	// Kind is the kind of objects to follow.
+	Kind string
+	// Wait is how long one watch waits for a change.
+	Wait time.Duration
+	// Pause is the time from a watch that brought changes to the next one, so
+	// that changes in quick succession arrive together.
+	Pause time.Duration
+	// RetryMin and RetryMax bound the time to the next call after a failure.
+	RetryMin time.Duration
+	RetryMax time.Duration
+}
+
+// Random returns a number from 0 to 1, 1 excluded.
+type Random func() float64
+
+// Follower follows one kind. It is not safe for concurrent use. Times are
+// counted from the start of the process.
+type Follower struct {
+	settings Settings
+	random   Random
+	// revision is what the next watch starts after, once listed.
+	revision uint64
+	listed   bool
+	// from and seen belong to a list that is being read page by page.
+	from string
+	seen map[string]bool
+
+	busy     bool
+	due      time.Duration
+	failures int
+	lastGood time.Duration
+}
+
+// New returns a follower whose first call is due at once.
+func New(settings Settings, random Random) *Follower {
+	return &Follower{settings: settings, random: random}
+}
+
+// Listed tells that a complete list has been read since the start.
+func (f *Follower) Listed() bool { return f.listed }
+
+// Failing tells that the newest call failed.
+func (f *Follower) Failing() bool { return f.failures > 0 }
+
+// LastGood is when the store was last known to have answered.
+func (f *Follower) LastGood() time.Duration { return f.lastGood }
+
+// Due returns when the next call is to be made; ok is false while one runs.
+func (f *Follower) Due() (at time.Duration, ok bool) { return f.due, !f.busy }
+
+// Next returns the call to make if one is due.
+func (f *Follower) Next(now time.Duration) (objects.Call, bool) {
+	if f.busy || now < f.due {
+		return objects.Call{}, false
+	}
+	f.busy = true
+	if !f.listed || f.seen != nil {
+		return f.list(), true
+	}
+	wait := f.settings.Wait
+	if f.failures > 0 {
+		// After a failure the first answer counts, not the first change.
+		wait = 0
+	}
+	return objects.Call{Verb: objects.VerbWatch, Key: f.settings.Kind, After: f.revision, Wait: wait}, true
+}
+
+func (f *Follower) list() objects.Call {
+	if f.seen == nil {
+		f.seen = make(map[string]bool)
+		f.from = ""
+	}
+	return objects.Call{Verb: objects.VerbList, Key: f.settings.Kind, From: f.from}
+}
+
+// Change is what a call brought.
+type Change struct {
+	// Objects are new, changed or deleted.
+	Objects []objects.Object
+	// Listed is set at the end of a list: the names of all objects there are.
+	Listed map[string]bool
+	// Failed tells that the store gave no answer to use.
+	Failed bool
+}
+
+// Answer takes the outcome of the call made last.
+func (f *Follower) Answer(now time.Duration, call objects.Call, outcome objects.Outcome) Change {
+	f.busy = false
+	switch outcome.Result {
+	case objects.ResultOK:
+		f.failures = 0
+		f.lastGood = now
+		if call.Verb == objects.VerbList {
+			return f.tookPage(now, outcome.Page)
+		}
+		return f.tookEvents(now, outcome.Page)
+	case objects.ResultExpired:
+		f.failures = 0
+		f.lastGood = now
+		f.due = now
+		f.seen = make(map[string]bool)
+		f.from = ""
+		return Change{}
+	}
+	f.failed(now, outcome.RetryAfter)
+	return Change{Failed: true}
+}
+
+func (f *Follower) tookPage(now time.Duration, page objects.Page) Change {
+	change := Change{Objects: page.Objects}
+	for _, object := range page.Objects {
+		f.seen[object.Key] = true
+	}
+	if f.from == "" {
+		// Changes made while later pages are read come by the watch.
+		f.revision = page.Revision
+	}
+	f.due = now
+	if page.More && len(page.Objects) > 0 {
+		f.from = f.settings.Kind + "/" + page.Objects[len(page.Objects)-1].Key
+		return change
+	}
+	change.Listed = f.seen
+	f.seen = nil
+	f.listed = true
+	return change
+}
+
+func (f *Follower) tookEvents(now time.Duration, page objects.Page) Change {
+	f.revision = max(f.revision, page.Revision)
+	f.due = now
+	if len(page.Objects) > 0 {
+		f.due = now + f.settings.Pause
+	}
+	return Change{Objects: page.Objects}
+}
+
+// maxDoublings bounds the growth of the back-off.
+const maxDoublings = 10
+
+// failed sets the time of the next call: random up to an end that doubles.
+func (f *Follower) failed(now, retryAfter time.Duration) {
+	end := min(f.settings.RetryMax, f.settings.RetryMin<<min(f.failures, maxDoublings))
+	f.failures++
+	f.due = now + max(min(retryAfter, f.settings.RetryMax), time.Duration(f.random()*float64(end)))
+}
--- /dev/null
+++ b/internal/coordination/steer/engine.go
@@ -0,0 +1,175 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+// Random returns a number from 0 to 1, 1 excluded.
+type Random func() float64
+
+// Engine decides about packets. It is not safe for concurrent use. Times are
+// counted from the start of the process and never decrease.
+type Engine struct {
+	view    *catalog.View
+	random  Random
+	records records
+	flows   map[state.FlowKey]*flow
+	// openings wait for an answer.
+	openings  map[state.FlowKey]*flow
+	nextSweep time.Duration
+}
+
+// NewEngine returns an engine of a host in a failure domain.
+func NewEngine(domain state.DomainID, random Random) *Engine {
+	return &Engine{
+		random:   random,
+		records:  newRecords(domain),
+		flows:    make(map[state.FlowKey]*flow),
+		openings: make(map[state.FlowKey]*flow),
+	}
+}
+
+// SetView puts a new view in force.
+func (e *Engine) SetView(now time.Duration, view *catalog.View) {
+	e.view = view
+	for _, pool := range view.Pools {
+		for _, target := range pool.Offered {
+			r := e.records.of(target, now)
+			if r.born != target.Born {
+				e.restarted(now, r, target)
+			}
+		}
+	}
+}
+
+// restarted forgets what was seen of a target's earlier life.
+func (e *Engine) restarted(now time.Duration, r *record, target *catalog.Target) {
+	r.born = target.Born
+	r.suspect = false
+	r.unanswered = 0
+	r.lastAnswer = now
+	r.warmUntil = now + target.WarmUp
+}
+
+// Flows returns the number of flows remembered.
+func (e *Engine) Flows() int { return len(e.flows) }
+
+// TakeBeliefs returns the changes of belief since the last call.
+func (e *Engine) TakeBeliefs() []Belief {
+	beliefs := e.records.beliefs
+	e.records.beliefs = nil
+	return beliefs
+}
+
+// Packet decides about a client's packet.
+func (e *Engine) Packet(now time.Duration, p *Packet) Verdict {
+	if !e.view.Ready() {
+		return Verdict{Reason: ReasonNotReady}
+	}
+	route := e.view.Routes[p.Service]
+	if route == nil {
+		return e.noRoute(p)
+	}
+	if p.Opening {
+		return e.open(now, route, p)
+	}
+	target := route.Target(p.Cookie)
+	if target == nil {
+		return Verdict{Reason: ReasonUnknownCookie}
+	}
+	if reset := e.observe(now, route, target, p); reset {
+		return resetOf(p, ReasonTargetSilent)
+	}
+	return Verdict{Action: ActionForward, Reason: ReasonEstablished, Target: target, Raw: p.Raw}
+}
+
+// noRoute refuses at once what the configuration has no route for, so that the
+// client need not wait. A reset is never answered.
+func (e *Engine) noRoute(p *Packet) Verdict {
+	delete(e.openings, p.key())
+	e.forget(p.key())
+	if p.Reset {
+		return Verdict{Reason: ReasonNoRoute}
+	}
+	return resetOf(p, ReasonNoRoute)
+}
+
+// resetOf answers a packet with a reset.
+func resetOf(p *Packet, reason Reason) Verdict {
+	return Verdict{Action: ActionReset, Reason: reason, Client: p.Client, Service: p.Service, Seq: p.Ack}
+}
+
+// observe learns from a packet of an established flow. It returns true if the
+// flow is better reset.
+func (e *Engine) observe(now time.Duration, route *catalog.RouteEntry, target *catalog.Target, p *Packet) bool {
+	key := p.key()
+	f := e.flows[key]
+	if f == nil || f.opening != nil || f.record != e.records.of(target, now) {
+		f = e.opened(now, key, route, target, p, f)
+	}
+	if p.Reset || p.Final && p.Length == 0 {
+		e.forget(key)
+		return false
+	}
+	if f.took(now, p) {
+		e.records.answered(now, f.record)
+	}
+	if !f.silent(now) {
+		return false
+	}
+	e.forget(key)
+	return true
+}
+
+// opened notes that a flow is open at a target: its opening was answered there,
+// or this host sees the flow for the first time.
+func (e *Engine) opened(now time.Duration, key state.FlowKey, route *catalog.RouteEntry, target *catalog.Target, p *Packet, before *flow) *flow {
+	r := e.records.of(target, now)
+	if before != nil {
+		if o := before.opening; o != nil && len(o.tried) > 0 && o.tried[len(o.tried)-1] == r {
+			r.answers.add(now - o.offeredAt)
+			e.records.answered(now, r)
+		}
+		e.forget(key)
+	}
+	f := &flow{key: key, idempotent: route.Idempotent, lastSeen: now, record: r, nextSeq: p.Seq, ack: p.Ack}
+	r.open++
+	e.flows[key] = f
+	return f
+}
+
+// forget drops what is known of a flow.
+func (e *Engine) forget(key state.FlowKey) {
+	f := e.flows[key]
+	if f == nil {
+		return
+	}
+	delete(e.flows, key)
+	delete(e.openings, key)
+	if f.opening != nil {
+		f.opening.release()
+		return
+	}
+	f.settle()
+	f.record.open--
+}
+
+// sweep forgets flows that were idle for too long.
+func (e *Engine) sweep(now time.Duration) {
+	if now < e.nextSweep {
+		return
+	}
+	e.nextSweep = now + sweepInterval
+	idle := defaultIdle
+	if e.view != nil && e.view.IdleTimeout > 0 {
+		idle = e.view.IdleTimeout
+	}
+	for key, f := range e.flows {
+		if now-f.lastSeen > idle {
+			e.forget(key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/steer/opening.go
@@ -0,0 +1,113 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+// open decides about an opening: a new one is placed; the client's own copy of a
+// known one is a sign that the last offer failed.
+func (e *Engine) open(now time.Duration, route *catalog.RouteEntry, p *Packet) Verdict {
+	key := p.key()
+	f := e.flows[key]
+	if f != nil && f.opening != nil && f.opening.seq == p.Seq {
+		return e.offerAgain(now, f)
+	}
+	if f != nil {
+		e.forget(key)
+	}
+	f = &flow{key: key, idempotent: route.Idempotent, lastSeen: now}
+	f.opening = &opening{seq: p.Seq, pool: e.pick(route), began: now}
+	f.opening.size = copy(f.opening.raw[:], p.Raw)
+	verdict := e.offer(now, f, ReasonPlaced)
+	if verdict.Action == ActionForward {
+		e.flows[key] = f
+		e.openings[key] = f
+	}
+	return verdict
+}
+
+// offerAgain answers the client's copy of an opening.
+func (e *Engine) offerAgain(now time.Duration, f *flow) Verdict {
+	f.lastSeen = now
+	if now < f.opening.due {
+		// The newest offer may still be answered.
+		return Verdict{Reason: ReasonOfferedAgain}
+	}
+	return e.reoffer(now, f)
+}
+
+// reoffer counts the newest offer as failed and makes another.
+func (e *Engine) reoffer(now time.Duration, f *flow) Verdict {
+	o := f.opening
+	if n := len(o.tried); n > 0 {
+		e.records.unansweredOpening(now, o.tried[n-1])
+	}
+	return e.offer(now, f, ReasonOfferedAgain)
+}
+
+// offer sends an opening to the best target that has not had it.
+func (e *Engine) offer(now time.Duration, f *flow, reason Reason) Verdict {
+	o := f.opening
+	target, r := e.choose(now, o.pool, o.tried)
+	if target == nil && len(o.tried) > 0 {
+		// Every target has had it: the datagram may have been lost.
+		target, r = e.choose(now, o.pool, nil)
+	}
+	if target == nil {
+		return Verdict{Action: ActionReset, Reason: ReasonNoTarget, Client: f.key.Caller, Service: f.key.Service}
+	}
+	r.offers++
+	o.tried = append(o.tried, r)
+	o.offeredAt = now
+	o.due = now + r.patience()
+	return Verdict{
+		Action:  ActionForward,
+		Reason:  reason,
+		Target:  target,
+		Opening: true,
+		Client:  f.key.Caller,
+		Service: f.key.Service,
+		Raw:     o.raw[:o.size],
+	}
+}
+
+// release takes an opening's offers off its targets' load.
+func (o *opening) release() {
+	for _, r := range o.tried {
+		r.offers--
+	}
+}
+
+// NextDue returns when Due has something to decide; ok is false for never.
+func (e *Engine) NextDue() (at time.Duration, ok bool) {
+	for _, f := range e.openings {
+		if !ok || f.opening.due < at {
+			at, ok = f.opening.due, true
+		}
+	}
+	return at, ok
+}
+
+// Due decides about the openings whose answer is overdue. Call it only after all
+// packets that have arrived were handed to Packet.
+func (e *Engine) Due(now time.Duration, verdicts []Verdict) []Verdict {
+	for key, f := range e.openings {
+		o := f.opening
+		if now < o.due {
+			continue
+		}
+		if now-o.began > openingLifetime {
+			e.forget(key)
+			continue
+		}
+		if len(o.tried) >= maxOffers {
+			o.due = o.began + openingLifetime + 1
+			continue
+		}
+		verdicts = append(verdicts, e.reoffer(now, f))
+	}
+	e.sweep(now)
+	return verdicts
+}
--- /dev/null
+++ b/internal/coordination/steer/place.go
@@ -0,0 +1,105 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+// choose returns the target with the lowest cost that was not tried yet. When
+// every one is suspect the cheapest of those is taken: a wrong suspicion must
+// not refuse work that could be served.
+func (e *Engine) choose(now time.Duration, pool *catalog.Pool, tried []*record) (*catalog.Target, *record) {
+	var best, second candidate
+	for _, target := range pool.Offered {
+		r := e.records.of(target, now)
+		if contains(tried, r) {
+			continue
+		}
+		c := candidate{target: target, record: r, cost: e.cost(now, target, r)}
+		if r.barred(now) {
+			second = second.cheaper(c, e.random)
+		} else {
+			best = best.cheaper(c, e.random)
+		}
+	}
+	if best.target == nil {
+		best = second
+	}
+	if best.target != nil {
+		best.record.probed(now)
+	}
+	return best.target, best.record
+}
+
+// candidate is a target that could take a new flow.
+type candidate struct {
+	target *catalog.Target
+	record *record
+	cost   float64
+	ties   int
+}
+
+// cheaper returns the cheaper of two candidates; equal ones are taken with equal
+// chances, so that hosts do not all take the same.
+func (c candidate) cheaper(other candidate, random Random) candidate {
+	switch {
+	case c.target == nil || other.cost < c.cost:
+		other.ties = 1
+		return other
+	case other.cost > c.cost:
+		return c
+	}
+	other.ties = c.ties + 1
+	if random()*float64(other.ties) < 1 {
+		return other
+	}
+	c.ties = other.ties
+	return c
+}
+
+// cost estimates how long a new flow's requests wait at a target, in requests a
+// slot, from the flows that pass through this host.
+func (e *Engine) cost(now time.Duration, target *catalog.Target, r *record) float64 {
+	load := float64(r.offers+r.waiting+1) + openFlowCost*float64(r.open)
+	cost := load / float64(target.Slots)
+	if !r.domain.own {
+		cost += remoteCost
+	}
+	if now < r.warmUntil {
+		cost += warmingCost
+	}
+	if r.suspect || r.domain.suspect {
+		// A probe is due: the opening goes there unless the load speaks against it.
+		cost -= remoteCost
+	}
+	return cost
+}
+
+func contains(list []*record, r *record) bool {
+	for _, item := range list {
+		if item == r {
+			return true
+		}
+	}
+	return false
+}
+
+// pick chooses among the pools of a route by their weights.
+func (e *Engine) pick(route *catalog.RouteEntry) *catalog.Pool {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Pool
+	}
+	total := 0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	at := int(e.random() * float64(total))
+	for _, share := range route.Shares {
+		if at < share.Weight {
+			return share.Pool
+		}
+		at -= share.Weight
+	}
+	return route.Shares[len(route.Shares)-1].Pool
+}
--- /dev/null
+++ b/internal/coordination/steer/types.go
@@ -0,0 +1,95 @@
+// Package steer decides about packets whose flow's target travels in a cookie:
+// where an opening goes, when it is offered to another target, when a flow is
+// reset, and what the host believes about its targets. It needs no state to
+// forward an established packet. What it keeps of flows are hints for placing
+// and for finding targets that fail; losing them breaks nothing.
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+// Packet is a client's packet.
+type Packet struct {
+	Client  netip.AddrPort
+	Service netip.AddrPort
+	Cookie  catalog.Cookie
+	Seq     uint32
+	Ack     uint32
+	// Length is the number of data bytes.
+	Length  int
+	Opening bool
+	Final   bool
+	Reset   bool
+	// Raw is the packet as received.
+	Raw []byte
+}
+
+// key returns the flow's key.
+func (p *Packet) key() state.FlowKey {
+	return state.FlowKey{Protocol: state.TCP, Caller: p.Client, Service: p.Service}
+}
+
+// Action is what to do about a flow.
+type Action uint8
+
+// Actions.
+const (
+	// ActionDrop sends nothing.
+	ActionDrop Action = iota
+	// ActionForward sends the packet to the target.
+	ActionForward
+	// ActionReset sends a reset to the client.
+	ActionReset
+)
+
+// Reason tells why a verdict is what it is.
+type Reason string
+
+// Reasons.
+const (
+	ReasonEstablished   Reason = "established"
+	ReasonPlaced        Reason = "placed"
+	ReasonOfferedAgain  Reason = "offered_again"
+	ReasonNotReady      Reason = "not_ready"
+	ReasonNoRoute       Reason = "no_route"
+	ReasonNoTarget      Reason = "no_target"
+	ReasonUnknownCookie Reason = "unknown_cookie"
+	ReasonTargetSilent  Reason = "target_silent"
+	ReasonTargetReborn  Reason = "target_restarted"
+	ReasonOverload      Reason = "overload"
+)
+
+// Verdict is the decision about one packet, or about a flow at a later time.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	// Target is set for ActionForward.
+	Target *catalog.Target
+	// Opening tells that the packet opens a flow and gets the target's cookie.
+	Opening bool
+	// Client and Service name the flow of an opening or a reset; Seq belongs to a
+	// reset.
+	Client  netip.AddrPort
+	Service netip.AddrPort
+	Seq     uint32
+	// Raw is the packet to send for ActionForward.
+	Raw []byte
+}
+
+// Belief is what the host believes about a target or a failure domain.
+type Belief struct {
+	// Target is empty for a whole failure domain.
+	Target string
+	Domain state.DomainID
+	// Suspect tells that it stopped answering; false that it answers again.
+	Suspect bool
+	// Unanswered is the number of openings in a row without an answer.
+	Unanswered int
+	// Silence is the time since the last answer.
+	Silence time.Duration
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,8 +18,8 @@
 	"github.com/guavawharf/guavawharf/internal/coordination/traffic"
 	"github.com/guavawharf/guavawharf/internal/protocol/rpcapi"
 	"github.com/guavawharf/guavawharf/internal/protocol/settings"
-	"github.com/guavawharf/guavawharf/internal/transport/platform"
 	"github.com/guavawharf/guavawharf/internal/transport/rpc"
+	"github.com/guavawharf/guavawharf/internal/transport/store"
 	"github.com/guavawharf/guavawharf/internal/transport/udp"
 	"github.com/guavawharf/guavawharf/internal/transport/workers"
 )
@@ -35,7 +35,7 @@
 	pool     *workers.Pool
 	peers    *rpc.Peers
 	server   *rpc.Server
-	client   *platform.Client
+	client   *store.Client
 	calls    *ants.Pool
 	metrics  *http.Server
 	listener struct{ control, metrics net.Listener }
@@ -109,7 +109,7 @@
 const maxPlatformCalls = 16
 
 func (d *Daemon) openPlatform() error {
-	d.client = platform.NewClient(platform.Settings{
+	d.client = store.NewClient(store.Settings{
 		Address: d.settings.Platform.URL,
 		Timeout: d.settings.Platform.Timeout,
 	}, d.counters)
--- /dev/null
+++ b/internal/edge/control.go
@@ -0,0 +1,273 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/samber/oops"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/follow"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/guavawharf/guavawharf/internal/transport/store"
+	"github.com/guavawharf/guavawharf/platform"
+)
+
+// Timing of the calls to the store, as shares of the bound on changes: a watch
+// that was cut off unnoticed, a timeout and two more tries fit into the bound.
+const (
+	waitShare    = 0.55
+	timeoutShare = 0.2
+)
+
+// Limits of the calls to the store.
+const (
+	// changesPause collects changes that come in quick succession.
+	changesPause = 200 * time.Millisecond
+	retryMin     = 50 * time.Millisecond
+	retryMax     = 400 * time.Millisecond
+	// storeConnections and storeCalls are one for each follower.
+	storeConnections = 2
+	storeCalls       = 2
+	// failuresToOpen and openFor keep a store that is down from being asked by
+	// every follower; the bound on changes leaves little time to hold back.
+	failuresToOpen = 6
+	openFor        = 200 * time.Millisecond
+	// rateLimitPause is the time to hold back after a rate limit.
+	rateLimitPause = 200 * time.Millisecond
+	// lapseGrace is how long after the store's return entries that lapsed are
+	// written again.
+	lapseGrace = 2500 * time.Millisecond
+	// departedMargin is added to the age of the oldest flow.
+	departedMargin = 15 * time.Second
+)
+
+// control follows the store in one goroutine and publishes views.
+type control struct {
+	edge      *Edge
+	client    *store.Client
+	pool      *ants.Pool
+	directory *catalog.Directory
+	followers []*followed
+	answers   chan answer
+	ctx       context.Context
+	cancel    context.CancelFunc
+	// rebuildAt is when the view changes by time alone, 0 for never.
+	rebuildAt time.Duration
+	// storeLost tells that the store's loss was logged.
+	storeLost bool
+}
+
+// followed is one kind of objects with what takes its changes.
+type followed struct {
+	kind     string
+	follower *follow.Follower
+	apply    func(now time.Duration, change follow.Change) (changed bool)
+}
+
+// answer is the outcome of a call.
+type answer struct {
+	of      *followed
+	call    objects.Call
+	outcome objects.Outcome
+}
+
+func newControl(e *Edge) (*control, error) {
+	pool, err := ants.NewPool(storeCalls)
+	if err != nil {
+		return nil, oops.Code("call_pool").Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &control{
+		edge:    e,
+		client:  store.NewClient(storeSettings(e), e.metrics),
+		pool:    pool,
+		answers: make(chan answer, storeCalls),
+		ctx:     ctx,
+		cancel:  cancel,
+		directory: catalog.NewDirectory(catalog.Settings{
+			KeepDeparted: e.settings.MaxFlowAge + departedMargin,
+			LapseGrace:   lapseGrace,
+		}),
+	}
+	c.follow(platform.KindConfig, 0, c.applyConfig)
+	c.follow(platform.KindTargets, changesPause, c.applyTargets)
+	return c, nil
+}
+
+func storeSettings(e *Edge) store.Settings {
+	return store.Settings{
+		Address:        "http://" + e.settings.Store.String(),
+		Protocol:       platform.Protocol{},
+		Timeout:        share(e.settings.ChangeBound, timeoutShare),
+		MaxAttempts:    1,
+		MaxConnections: storeConnections,
+		FailuresToOpen: failuresToOpen,
+		OpenFor:        openFor,
+		RetryAfter:     rateLimitPause,
+	}
+}
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
+func (c *control) follow(kind string, pause time.Duration, apply func(time.Duration, follow.Change) bool) {
+	c.followers = append(c.followers, &followed{
+		kind:  kind,
+		apply: apply,
+		follower: follow.New(follow.Settings{
+			Kind:     kind,
+			Wait:     share(c.edge.settings.ChangeBound, waitShare),
+			Pause:    pause,
+			RetryMin: retryMin,
+			RetryMax: retryMax,
+		}, rand.Float64),
+	})
+}
+
+// run makes the calls that are due and takes their answers.
+func (c *control) run() {
+	timer := time.NewTimer(0)
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case a := <-c.answers:
+			c.take(a)
+		case <-timer.C:
+		}
+		now := c.edge.now()
+		c.callDue(now)
+		if c.rebuildAt > 0 && now >= c.rebuildAt {
+			c.publish(now)
+		}
+		timer.Reset(c.nextWake(now) - now)
+	}
+}
+
+// callDue starts the calls that are due.
+func (c *control) callDue(now time.Duration) {
+	for _, f := range c.followers {
+		call, due := f.follower.Next(now)
+		if !due {
+			continue
+		}
+		err := c.pool.Submit(func() {
+			c.answers <- answer{of: f, call: call, outcome: c.client.Do(c.ctx, call)}
+		})
+		if err != nil {
+			c.edge.log.Error("store call not started", "kind", f.kind, "error", err.Error())
+			f.follower.Answer(now, call, objects.Outcome{Result: objects.ResultRefused})
+		}
+	}
+}
+
+func (c *control) nextWake(now time.Duration) time.Duration {
+	wake := now + idleWake
+	for _, f := range c.followers {
+		if at, ok := f.follower.Due(); ok {
+			wake = min(wake, at)
+		}
+	}
+	if c.rebuildAt > 0 {
+		wake = min(wake, c.rebuildAt)
+	}
+	return max(wake, now)
+}
+
+// take hands the answer of a call to its follower and puts changes in force.
+func (c *control) take(a answer) {
+	now := c.edge.now()
+	change := a.of.follower.Answer(now, a.call, a.outcome)
+	c.noteStore(now, a, change)
+	if a.of.apply(now, change) {
+		c.publish(now)
+	}
+}
+
+// noteStore logs when the store is lost and when it is back.
+func (c *control) noteStore(now time.Duration, a answer, change follow.Change) {
+	if change.Failed {
+		c.directory.StoreAway(now)
+	}
+	if change.Failed == c.storeLost {
+		return
+	}
+	c.storeLost = change.Failed
+	if change.Failed {
+		c.edge.log.Warn("store lost", "kind", a.of.kind, "result", a.outcome.Result.String(), "last_answer", (now - a.of.follower.LastGood()).String())
+		return
+	}
+	c.edge.log.Info("store regained", "kind", a.of.kind)
+}
+
+// publish puts a new view in force.
+func (c *control) publish(now time.Duration) {
+	before := c.edge.ready()
+	var view *catalog.View
+	view, c.rebuildAt = c.directory.View(now)
+	c.edge.view.Store(view)
+	if !before && c.edge.ready() {
+		c.edge.log.Info("ready", "config", view.Version, "targets", c.directory.Targets(), "after", now.String())
+	}
+}
+
+func (c *control) applyConfig(now time.Duration, change follow.Change) bool {
+	changed := false
+	for _, object := range change.Objects {
+		if object.Deleted || object.Key != platform.NameConfig {
+			continue
+		}
+		config, bad, err := platform.DecodeConfig(object.Value)
+		if err != nil {
+			c.edge.log.Error("configuration not read, the one in force stays", "revision", object.Revision, "error", err.Error())
+			continue
+		}
+		for _, err := range bad {
+			c.edge.log.Error("route left out", "config", config.Version, "error", err.Error())
+		}
+		if c.directory.SetConfig(config) {
+			changed = true
+			c.edge.log.Info("configuration in force", "config", config.Version, "revision", object.Revision, "routes", len(config.Routes))
+		}
+	}
+	return changed
+}
+
+func (c *control) applyTargets(now time.Duration, change follow.Change) bool {
+	for _, object := range change.Objects {
+		c.applyTarget(now, object)
+	}
+	if change.Listed != nil {
+		c.directory.RemoveAllBut(now, change.Listed)
+	}
+	return len(change.Objects) > 0 || change.Listed != nil
+}
+
+func (c *control) applyTarget(now time.Duration, object objects.Object) {
+	if object.Deleted {
+		c.directory.Remove(now, object.Key)
+		c.edge.log.Info("target gone", "target", object.Key, "revision", object.Revision)
+		return
+	}
+	target, err := platform.DecodeTarget(object.Key, object.Value)
+	if err != nil {
+		c.directory.Remove(now, object.Key)
+		c.edge.log.Warn("target entry not read", "target", object.Key, "revision", object.Revision, "error", err.Error())
+		return
+	}
+	c.directory.Put(target)
+	c.edge.log.Info("target", "target", target.Name, "pool", string(target.Pool), "domain", string(target.Domain),
+		"draining", target.Draining, "revision", object.Revision)
+}
+
+// close ends the calls.
+func (c *control) close() {
+	c.cancel()
+	if err := c.pool.ReleaseTimeout(time.Second); err != nil && !errors.Is(err, ants.ErrPoolClosed) {
+		c.edge.log.Warn("store calls still run", "error", err.Error())
+	}
+	c.client.Close()
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,112 @@
+// Package edge wires guavaedge together: one goroutine that forwards packets,
+// one that follows the store and owns what is known of it, and the HTTP servers
+// that tell whether the host takes traffic and what it has counted.
+package edge
+
+import (
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+	"github.com/guavawharf/guavawharf/internal/protocol/edgesettings"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+	"github.com/guavawharf/guavawharf/internal/transport/udp"
+)
+
+// Timing of a graceful shutdown.
+const (
+	// leaveAtLeast is how long the fabric may take to see that the host leaves.
+	leaveAtLeast = 1300 * time.Millisecond
+	// leaveQuiet is how long no packet has to arrive before the host stops.
+	leaveQuiet = 400 * time.Millisecond
+	// leaveMargin is kept free before the deadline.
+	leaveMargin = 500 * time.Millisecond
+	// leavePoll is the time between two looks at the traffic.
+	leavePoll = 50 * time.Millisecond
+)
+
+// Edge is one running guavaedge.
+type Edge struct {
+	settings edgesettings.Settings
+	log      *slog.Logger
+	start    time.Time
+	view     atomic.Pointer[catalog.View]
+	leaving  atomic.Bool
+	// lastPacket is when the newest packet arrived, in nanoseconds from start.
+	lastPacket atomic.Int64
+	metrics    *measures
+	traffic    *traffic
+	control    *control
+	pages      *pages
+}
+
+// New opens every socket. Nothing is served before Run.
+func New(settings edgesettings.Settings, log *slog.Logger) (*Edge, error) {
+	e := &Edge{settings: settings, log: log, start: time.Now(), metrics: newMeasures()}
+	socket, err := udp.Listen(settings.Packets)
+	if err != nil {
+		return nil, err
+	}
+	e.traffic = newTraffic(e, socket, steer.NewEngine(settings.Domain, rand.Float64))
+	e.control, err = newControl(e)
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	e.pages, err = openPages(e)
+	if err != nil {
+		e.control.close()
+		return nil, errors.Join(err, socket.Close())
+	}
+	return e, nil
+}
+
+// Run serves until a graceful shutdown asked for by leave has ended.
+func (e *Edge) Run(leave <-chan struct{}) {
+	go e.control.run()
+	go e.pages.run()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.traffic.run()
+	}()
+	<-leave
+	e.drain()
+	if err := e.traffic.socket.Close(); err != nil {
+		e.log.Error("packet socket not closed", "error", err.Error())
+	}
+	<-stopped
+	e.control.close()
+	e.pages.close()
+}
+
+// drain tells the fabric to send nothing more and forwards until nothing comes.
+func (e *Edge) drain() {
+	began := e.now()
+	e.leaving.Store(true)
+	e.log.Info("leaving", "deadline", e.settings.LeaveDeadline.String())
+	for {
+		time.Sleep(leavePoll)
+		now := e.now()
+		quiet := now - time.Duration(e.lastPacket.Load())
+		if now-began > e.settings.LeaveDeadline-leaveMargin {
+			e.log.Warn("left at the deadline, packets still arrive", "quiet", quiet.String())
+			return
+		}
+		if now-began > leaveAtLeast && quiet > leaveQuiet {
+			return
+		}
+	}
+}
+
+// now is the time since the start of the process.
+func (e *Edge) now() time.Duration { return time.Since(e.start) }
+
+// ready tells whether the fabric should send packets here.
+func (e *Edge) ready() bool { return !e.leaving.Load() && e.view.Load().Ready() }
+
+// isClosed tells that an error is due to the own shutdown.
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/edge/measures.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"io"
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+)
+
+// measures are the counters of the process.
+type measures struct {
+	set        *metrics.Set
+	verdicts   map[steer.Reason]*metrics.Counter
+	badPackets *metrics.Counter
+	sendFailed *metrics.Counter
+}
+
+// countedReasons are those with a counter of their own.
+var countedReasons = []steer.Reason{
+	steer.ReasonEstablished, steer.ReasonPlaced, steer.ReasonOfferedAgain, steer.ReasonNotReady,
+	steer.ReasonNoRoute, steer.ReasonNoTarget, steer.ReasonUnknownCookie, steer.ReasonTargetSilent,
+	steer.ReasonTargetReborn, steer.ReasonOverload,
+}
+
+func newMeasures() *measures {
+	set := metrics.NewSet()
+	m := &measures{
+		set:        set,
+		verdicts:   make(map[steer.Reason]*metrics.Counter),
+		badPackets: set.NewCounter("guava_bad_packets_total"),
+		sendFailed: set.NewCounter("guava_datagrams_not_sent_total"),
+	}
+	for _, reason := range countedReasons {
+		m.verdicts[reason] = set.NewCounter(`guava_verdicts_total{reason="` + string(reason) + `"}`)
+	}
+	return m
+}
+
+func (m *measures) verdict(v steer.Verdict) { m.verdicts[v.Reason].Inc() }
+
+// Add counts a call to the store; it implements store.Counters.
+func (m *measures) Add(name string, delta int64) {
+	m.set.GetOrCreateCounter("guava_" + name + "_total").AddInt64(delta)
+}
+
+func (m *measures) write(w io.Writer) { m.set.WritePrometheus(w) }
+
+// noteBadPacket counts and logs a packet that can't be read.
+func (e *Edge) noteBadPacket(from netip.AddrPort, size int, err error) {
+	e.metrics.badPackets.Inc()
+	reason := "longer than the largest packet"
+	if err != nil {
+		reason = err.Error()
+	}
+	e.log.Warn("packet dropped", "from", from.String(), "size", size, "reason", reason)
+}
+
+// logVerdict logs a decision about a flow other than to forward it as before.
+func (e *Edge) logVerdict(v steer.Verdict, client, service netip.AddrPort) {
+	target := ""
+	if v.Target != nil {
+		target = v.Target.Name
+	}
+	e.log.Info("flow "+string(v.Reason), "client", client.String(), "service", service.String(),
+		"target", target, "reset", v.Action == steer.ActionReset)
+}
+
+// logBelief logs a change of what the host believes.
+func (e *Edge) logBelief(b steer.Belief) {
+	message := "answers again"
+	if b.Suspect {
+		message = "suspect, stopped answering"
+	}
+	e.log.Warn(message, "target", b.Target, "domain", string(b.Domain),
+		"unanswered", b.Unanswered, "silence", b.Silence.String())
+}
--- /dev/null
+++ b/internal/edge/traffic.go
@@ -0,0 +1,176 @@
+package edge
+
+import (
+	"errors"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+	"github.com/guavawharf/guavawharf/internal/transport/udp"
+	"github.com/guavawharf/guavawharf/platform"
+)
+
+// Timing of the traffic loop.
+const (
+	// idleWake is the longest time between two looks at flows and settings.
+	idleWake = time.Second
+	// settleTime lets packets that already arrived be read before an overdue
+	// answer counts as missing.
+	settleTime = time.Millisecond
+)
+
+// datagramSize is the room for one datagram in bytes, one more than the largest
+// so that longer ones are noticed.
+const datagramSize = platform.LabelSize + platform.MaxPacketSize + 1
+
+// slot holds a datagram with room for a label ahead of it.
+type slot struct {
+	buf [datagramSize]byte
+}
+
+// Space implements udp.Slot.
+func (s *slot) Space() []byte { return s.buf[platform.LabelSize:] }
+
+// traffic forwards packets in one goroutine.
+type traffic struct {
+	edge     *Edge
+	socket   *udp.Socket
+	reader   *udp.Reader[*slot]
+	writer   *udp.Writer
+	engine   *steer.Engine
+	view     *catalog.View
+	verdicts []steer.Verdict
+	now      time.Duration
+}
+
+func newTraffic(e *Edge, socket *udp.Socket, engine *steer.Engine) *traffic {
+	return &traffic{
+		edge:   e,
+		socket: socket,
+		reader: udp.NewReader(socket, func() *slot { return new(slot) }),
+		writer: udp.NewWriter(socket),
+		engine: engine,
+	}
+}
+
+// run forwards until the socket is closed.
+func (t *traffic) run() {
+	settling := false
+	for {
+		t.setWake(settling)
+		err := t.reader.Read(t.take)
+		t.now = t.edge.now()
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if at, ok := t.engine.NextDue(); ok && at <= t.now && !settling {
+				settling = true
+				continue
+			}
+			t.due()
+		case isClosed(err):
+			return
+		default:
+			t.edge.log.Error("packets not read", "error", err.Error())
+		}
+		settling = false
+		t.flush()
+	}
+}
+
+// setWake sets the time at which the next read ends without a packet.
+func (t *traffic) setWake(settling bool) {
+	now := t.edge.now()
+	wake := now + idleWake
+	if at, ok := t.engine.NextDue(); ok {
+		wake = min(wake, max(at, now)+settleTime)
+	}
+	if settling {
+		wake = now + settleTime
+	}
+	if err := t.socket.StopReading(t.edge.start.Add(wake)); err != nil && !isClosed(err) {
+		t.edge.log.Error("read deadline not set", "error", err.Error())
+	}
+}
+
+// refresh takes the newest view.
+func (t *traffic) refresh() {
+	if view := t.edge.view.Load(); view != t.view && view != nil {
+		t.view = view
+		t.engine.SetView(t.now, view)
+	}
+}
+
+// take handles one datagram. The slot is free again after the next flush, which
+// comes before the next read.
+func (t *traffic) take(d udp.Datagram[*slot]) bool {
+	t.now = t.edge.now()
+	t.refresh()
+	t.edge.lastPacket.Store(int64(t.now))
+	packet, err := platform.DecodePacket(d.Slot.Space()[:d.Size])
+	if err != nil || d.Truncated {
+		t.edge.noteBadPacket(d.From, d.Size, err)
+		return false
+	}
+	verdict := t.engine.Packet(t.now, &packet)
+	t.edge.metrics.verdict(verdict)
+	t.carryOut(verdict, d.Slot.buf[:platform.LabelSize+d.Size])
+	if verdict.Reason != steer.ReasonEstablished {
+		t.edge.logVerdict(verdict, packet.Client, packet.Service)
+	}
+	return false
+}
+
+// carryOut sends what a verdict says. The datagram holds the packet that it was
+// asked for; an opening is sent from a copy, since it may be sent again.
+func (t *traffic) carryOut(v steer.Verdict, datagram []byte) {
+	switch {
+	case v.Action == steer.ActionForward && v.Opening:
+		t.sendOpening(v)
+	case v.Action == steer.ActionForward:
+		platform.PutLabel(datagram, v.Target.ID)
+		t.writer.Add(datagram, v.Target.Address)
+	case v.Action == steer.ActionReset:
+		t.sendReset(v)
+	}
+}
+
+func (t *traffic) sendOpening(v steer.Verdict) {
+	datagram := make([]byte, platform.LabelSize, platform.LabelSize+len(v.Raw))
+	platform.PutLabel(datagram, v.Target.ID)
+	datagram = append(datagram, v.Raw...)
+	platform.PutCookie(datagram[platform.LabelSize:], v.Target.ID.Cookie())
+	t.writer.Add(datagram, v.Target.Address)
+}
+
+func (t *traffic) sendReset(v steer.Verdict) {
+	datagram := platform.AppendReset(nil, v.Client, v.Service, v.Seq)
+	to := netip.AddrPortFrom(v.Client.Addr(), t.edge.settings.Packets.Port())
+	t.writer.Add(datagram, to)
+}
+
+// due decides about what became due, now that every packet was read.
+func (t *traffic) due() {
+	t.refresh()
+	if t.view == nil {
+		return
+	}
+	t.verdicts = t.engine.Due(t.now, t.verdicts[:0])
+	for _, verdict := range t.verdicts {
+		t.edge.metrics.verdict(verdict)
+		t.carryOut(verdict, nil)
+		t.edge.logVerdict(verdict, verdict.Client, verdict.Service)
+	}
+}
+
+func (t *traffic) flush() {
+	if failed := t.writer.Flush(); failed > 0 {
+		t.edge.metrics.sendFailed.Add(failed)
+		t.edge.log.Warn("datagrams not sent", "count", failed)
+	}
+	for _, belief := range t.engine.TakeBeliefs() {
+		t.edge.logBelief(belief)
+	}
+}
--- /dev/null
+++ b/internal/protocol/edgesettings/settings.go
@@ -0,0 +1,94 @@
+// Package edgesettings reads guavaedge's settings from TOML and checks them as
+// a whole before anything opens.
+package edgesettings
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/tomldoc"
+	"github.com/guavawharf/guavawharf/internal/state"
+)
+
+// Settings are the checked settings of one guavaedge process.
+type Settings struct {
+	// Host and Domain name this entry host and its failure domain.
+	Host   state.HostID
+	Domain state.DomainID
+	// Packets takes clients' packets over UDP. Packets to clients go to the same
+	// port number at the client's address.
+	Packets netip.AddrPort
+	// Ready answers over HTTP whether the host takes traffic.
+	Ready netip.AddrPort
+	// Metrics serves the counters as text over HTTP.
+	Metrics netip.AddrPort
+	// Store is the address of the platform's object store.
+	Store netip.AddrPort
+	// ChangeBound is the time within which a change of the configuration or of
+	// the targets has to take effect.
+	ChangeBound time.Duration
+	// LeaveDeadline bounds a graceful shutdown.
+	LeaveDeadline time.Duration
+	// MaxFlowAge is the age of the oldest open flow.
+	MaxFlowAge time.Duration
+	// LogLevel is the lowest level that is logged; LogRate the lines a second.
+	LogLevel slog.Level
+	LogRate  int
+}
+
+// Defaults.
+const (
+	DefaultChangeBound   = 3 * time.Second
+	DefaultLeaveDeadline = 5 * time.Second
+	DefaultMaxFlowAge    = time.Minute
+	DefaultLogLevel      = "info"
+	DefaultLogRate       = 40
+)
+
+// Ranges, both ends included.
+const (
+	minChangeBound   = 100 * time.Millisecond
+	maxChangeBound   = time.Minute
+	minLeaveDeadline = 100 * time.Millisecond
+	maxLeaveDeadline = 10 * time.Minute
+	minMaxFlowAge    = time.Second
+	maxMaxFlowAge    = 24 * time.Hour
+	minLogRate       = 1
+	maxLogRate       = 10_000
+)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Parse reads and checks a settings file. Settings are valid only if there are
+// no issues; otherwise every issue of the file is returned.
+func Parse(data []byte) (Settings, tomldoc.Issues) {
+	root, issues := tomldoc.Parse(data)
+	if len(issues) > 0 {
+		return Settings{}, issues
+	}
+	settings := read(root)
+	return settings, root.Finish()
+}
+
+func read(root *tomldoc.Table) Settings {
+	host := root.Sub("host")
+	bounds := root.Sub("bounds")
+	log := root.Sub("log")
+	var level slog.Level
+	// Every allowed text is a level.
+	_ = level.UnmarshalText([]byte(log.OneOf("level", DefaultLogLevel, logLevels...)))
+	return Settings{
+		Host:          state.HostID(host.Name("id")),
+		Domain:        state.DomainID(host.Name("domain")),
+		Packets:       host.AddrPort("packets"),
+		Ready:         host.AddrPort("ready"),
+		Metrics:       host.AddrPort("metrics"),
+		Store:         root.Sub("store").AddrPort("address"),
+		ChangeBound:   bounds.Duration("change", DefaultChangeBound, minChangeBound, maxChangeBound),
+		LeaveDeadline: bounds.Duration("leave", DefaultLeaveDeadline, minLeaveDeadline, maxLeaveDeadline),
+		MaxFlowAge:    bounds.Duration("max_flow_age", DefaultMaxFlowAge, minMaxFlowAge, maxMaxFlowAge),
+		LogLevel:      level,
+		LogRate:       int(log.Integer("lines_per_second", DefaultLogRate, minLogRate, maxLogRate)),
+	}
+}
--- /dev/null
+++ b/internal/protocol/platformapi/binding.go
@@ -0,0 +1,58 @@
+package platformapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+// Protocol builds the requests of this binding and reads their answers.
+type Protocol struct{}
+
+// NewRequest returns the HTTP request of a call.
+func (Protocol) NewRequest(ctx context.Context, base string, call objects.Call) (*http.Request, error) {
+	object := base + PathObjects + "/" + escapeKey(call.Key)
+	query := url.Values{}
+	switch call.Verb {
+	case objects.VerbGet:
+		return http.NewRequestWithContext(ctx, http.MethodGet, object, nil)
+	case objects.VerbPut:
+		query.Set("version", strconv.FormatUint(call.Version, 10))
+		body := bytes.NewReader(call.Value)
+		return http.NewRequestWithContext(ctx, http.MethodPut, object+"?"+query.Encode(), body)
+	case objects.VerbList:
+		query.Set("prefix", call.Key)
+		address := base + PathObjects + "?" + query.Encode()
+		return http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	case objects.VerbWatch:
+		query.Set("prefix", call.Key)
+		query.Set("after", strconv.FormatUint(call.After, 10))
+		query.Set("wait", strconv.FormatFloat(call.Wait.Seconds(), 'f', -1, 64))
+		address := base + PathWatch + "?" + query.Encode()
+		return http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	}
+	return nil, errors.ErrUnsupported
+}
+
+// escapeKey escapes a key for the path and keeps its slashes.
+func escapeKey(key string) string { return (&url.URL{Path: key}).EscapedPath() }
+
+// DecodeObject reads one object.
+func (Protocol) DecodeObject(body []byte) (objects.Object, error) {
+	var object objects.Object
+	err := json.Unmarshal(body, &object)
+	return object, err
+}
+
+// DecodePage reads the answer of a list or a watch.
+func (Protocol) DecodePage(body []byte) (objects.Page, error) {
+	var page objects.Page
+	err := json.Unmarshal(body, &page)
+	return page, err
+}
--- /dev/null
+++ b/internal/state/catalog/directory.go
@@ -0,0 +1,222 @@
+package catalog
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Settings of a Directory.
+type Settings struct {
+	// KeepDeparted is how long a target that left is still known to the packets
+	// of open flows.
+	KeepDeparted time.Duration
+	// LapseGrace is how long after the store's return a target that is missing
+	// from it still counts as running.
+	LapseGrace time.Duration
+}
+
+// Directory collects what the store says and builds Views of it. Times are
+// counted from the start of the process.
+type Directory struct {
+	settings Settings
+	config   Config
+	targets  map[string]Target
+	departed map[string]departedTarget
+	// former holds, for each address, the pools that earlier versions named.
+	former map[netip.AddrPort][]PoolID
+	// trustedFrom is when a missing entry means again that its target is gone.
+	trustedFrom time.Duration
+}
+
+// departedTarget is a target whose entry is gone.
+type departedTarget struct {
+	target Target
+	// offerUntil is set when the entry may have lapsed while the target lives.
+	offerUntil time.Duration
+	keepUntil  time.Duration
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory(settings Settings) *Directory {
+	return &Directory{
+		settings: settings,
+		targets:  make(map[string]Target),
+		departed: make(map[string]departedTarget),
+		former:   make(map[netip.AddrPort][]PoolID),
+	}
+}
+
+// ConfigVersion returns the version in force, 0 for none.
+func (d *Directory) ConfigVersion() uint64 { return d.config.Version }
+
+// SetConfig takes a configuration unless it is older than the one in force.
+func (d *Directory) SetConfig(config Config) bool {
+	if config.Version <= d.config.Version {
+		return false
+	}
+	d.rememberFormer(config)
+	d.config = config
+	return true
+}
+
+// rememberFormer notes the pools that a route of the next version leaves, and
+// forgets those of addresses without a route.
+func (d *Directory) rememberFormer(next Config) {
+	former := make(map[netip.AddrPort][]PoolID)
+	before := routePools(d.config)
+	for _, route := range next.Routes {
+		kept := d.former[route.Address]
+		for _, pool := range before[route.Address] {
+			if !slices.Contains(kept, pool) {
+				kept = append(slices.Clone(kept), pool)
+			}
+		}
+		if len(kept) > 0 {
+			former[route.Address] = kept
+		}
+	}
+	d.former = former
+}
+
+func routePools(config Config) map[netip.AddrPort][]PoolID {
+	pools := make(map[netip.AddrPort][]PoolID, len(config.Routes))
+	for _, route := range config.Routes {
+		for _, share := range route.Pools {
+			pools[route.Address] = append(pools[route.Address], share.Pool)
+		}
+	}
+	return pools
+}
+
+// StoreAway notes that the store could not be reached at a time. Entries may
+// lapse meanwhile although their targets live.
+func (d *Directory) StoreAway(now time.Duration) {
+	d.trustedFrom = max(d.trustedFrom, now+d.settings.LapseGrace)
+}
+
+// Put takes the entry of a running target.
+func (d *Directory) Put(target Target) {
+	delete(d.departed, target.Name)
+	d.targets[target.Name] = target
+}
+
+// Remove takes note that a target's entry is gone.
+func (d *Directory) Remove(now time.Duration, name string) {
+	target, known := d.targets[name]
+	if !known {
+		return
+	}
+	delete(d.targets, name)
+	d.departed[name] = departedTarget{
+		target:     target,
+		offerUntil: d.trustedFrom,
+		keepUntil:  now + d.settings.KeepDeparted,
+	}
+}
+
+// RemoveAllBut removes the targets that a complete list does not name.
+func (d *Directory) RemoveAllBut(now time.Duration, listed map[string]bool) {
+	for name := range d.targets {
+		if !listed[name] {
+			d.Remove(now, name)
+		}
+	}
+}
+
+// Targets returns the number of targets with an entry.
+func (d *Directory) Targets() int { return len(d.targets) }
+
+// View builds the picture of this moment. It also returns when the next one
+// differs by time alone, 0 for never.
+func (d *Directory) View(now time.Duration) (*View, time.Duration) {
+	b := builder{view: &View{
+		Version:     d.config.Version,
+		IdleTimeout: d.config.IdleTimeout,
+		Routes:      make(map[netip.AddrPort]*RouteEntry, len(d.config.Routes)),
+		Pools:       make(map[PoolID]*Pool),
+	}}
+	for _, target := range d.targets {
+		b.add(target, !target.Draining)
+	}
+	next := d.addDeparted(now, &b)
+	b.finish()
+	for _, route := range d.config.Routes {
+		b.view.Routes[route.Address] = b.entry(route, d.former[route.Address])
+	}
+	return b.view, next
+}
+
+// addDeparted adds the targets that left not long ago and forgets older ones.
+func (d *Directory) addDeparted(now time.Duration, b *builder) (next time.Duration) {
+	for name, gone := range d.departed {
+		if now >= gone.keepUntil {
+			delete(d.departed, name)
+			continue
+		}
+		offered := now < gone.offerUntil && !gone.target.Draining
+		if offered && (next == 0 || gone.offerUntil < next) {
+			next = gone.offerUntil
+		}
+		b.add(gone.target, offered)
+	}
+	return next
+}
+
+// builder collects the pools of a view.
+type builder struct {
+	view *View
+}
+
+func (b *builder) pool(id PoolID) *Pool {
+	pool := b.view.Pools[id]
+	if pool == nil {
+		pool = &Pool{ID: id, targets: make(map[Cookie]*Target)}
+		b.view.Pools[id] = pool
+	}
+	return pool
+}
+
+// add takes a target. Of two targets of a pool with the same cookie the one that
+// started first has it; the other is not offered until the first is forgotten.
+func (b *builder) add(target Target, offered bool) {
+	pool := b.pool(target.Pool)
+	cookie := target.ID.Cookie()
+	other := pool.targets[cookie]
+	if other != nil && !startedBefore(&target, other) {
+		return
+	}
+	pool.targets[cookie] = &target
+	if other != nil {
+		pool.Offered = slices.DeleteFunc(pool.Offered, func(t *Target) bool { return t == other })
+	}
+	if offered {
+		pool.Offered = append(pool.Offered, &target)
+	}
+}
+
+func startedBefore(a, b *Target) bool {
+	if a.Born != b.Born {
+		return a.Born < b.Born
+	}
+	return a.ID < b.ID
+}
+
+// finish sorts the targets, so that equal directories make equal views.
+func (b *builder) finish() {
+	for _, pool := range b.view.Pools {
+		slices.SortFunc(pool.Offered, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+func (b *builder) entry(route Route, former []PoolID) *RouteEntry {
+	entry := &RouteEntry{Route: route}
+	for _, share := range route.Pools {
+		entry.Shares = append(entry.Shares, Share{Pool: b.pool(share.Pool), Weight: share.Weight})
+	}
+	for _, id := range former {
+		entry.Former = append(entry.Former, b.pool(id))
+	}
+	return entry
+}
--- /dev/null
+++ b/internal/state/catalog/view.go
@@ -0,0 +1,73 @@
+package catalog
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Pool is the targets of a pool.
+type Pool struct {
+	ID PoolID
+	// Offered are the targets that take new flows.
+	Offered []*Target
+	// targets holds every target that may have open flows.
+	targets map[Cookie]*Target
+}
+
+// Target returns the target that a cookie names, or nil.
+func (p *Pool) Target(cookie Cookie) *Target { return p.targets[cookie] }
+
+// Share is a pool with its share of a route's new flows.
+type Share struct {
+	Pool   *Pool
+	Weight int
+}
+
+// RouteEntry is a route with its pools.
+type RouteEntry struct {
+	Route
+	// Shares are the pools for new flows.
+	Shares []Share
+	// Former are pools that an earlier configuration named; open flows may still
+	// be there.
+	Former []*Pool
+}
+
+// Target returns the target of an established flow, or nil if no target that
+// the route leads or led to has this cookie.
+func (r *RouteEntry) Target(cookie Cookie) *Target {
+	for i := range r.Shares {
+		if target := r.Shares[i].Pool.Target(cookie); target != nil {
+			return target
+		}
+	}
+	for _, pool := range r.Former {
+		if target := pool.Target(cookie); target != nil {
+			return target
+		}
+	}
+	return nil
+}
+
+// View is an immutable picture of configuration and targets.
+type View struct {
+	// Version is the configuration's, 0 while none is known.
+	Version     uint64
+	IdleTimeout time.Duration
+	Routes      map[netip.AddrPort]*RouteEntry
+	Pools       map[PoolID]*Pool
+}
+
+// Ready tells whether flows can be served: a configuration and a target are
+// known.
+func (v *View) Ready() bool {
+	if v == nil || v.Version == 0 {
+		return false
+	}
+	for _, pool := range v.Pools {
+		if len(pool.Offered) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/state/objects/objects.go
+++ b/internal/state/objects/objects.go
@@ -21,12 +21,16 @@
 	// Revision is the store's revision at the last write.
 	Revision uint64          `json:"revision"`
 	Value    json.RawMessage `json:"value"`
+	// Deleted objects appear in watches of bindings that tell of deletions.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Page is the answer of a list or a watch.
 type Page struct {
 	Revision uint64   `json:"revision"`
 	Objects  []Object `json:"objects"`
+	// More tells that a list goes on after its last object.
+	More bool `json:"more,omitempty"`
 }
 
 // Verb is the kind of a call.
@@ -51,6 +55,11 @@
 	// After and Wait belong to VerbWatch.
 	After uint64
 	Wait  time.Duration
+	// From is the key after which a VerbList of a binding with pages goes on.
+	From string
+	// Stale allows a read to be answered from old data, where the binding has
+	// such reads.
+	Stale bool
 }
 
 // Result classifies the outcome of a call.
@@ -69,8 +78,20 @@
 	ResultRefused
 	// ResultUnknown means no answer came: the call may have run.
 	ResultUnknown
+	// ResultExpired means that the history asked for by a watch is gone; a list
+	// has to be read instead.
+	ResultExpired
 )
 
+// String returns the result in words.
+func (r Result) String() string {
+	names := [...]string{"ok", "absent", "conflict", "refused", "no answer", "history gone"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown result"
+}
+
 // Outcome is the answer to a Call.
 type Outcome struct {
 	Result     Result
--- /dev/null
+++ b/internal/transport/limitlog/limitlog.go
@@ -0,0 +1,165 @@
+// Package limitlog bounds the volume of a log: each kind of line has a budget a
+// second, and a reader that stops reading loses lines instead of holding up the
+// process.
+package limitlog
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// queuedLines bounds the lines that wait for the reader.
+const queuedLines = 256
+
+// summaryInterval is the time between two lines about dropped lines.
+const summaryInterval = 5 * time.Second
+
+// Writer writes lines in the background and never blocks.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	out     io.Writer
+}
+
+// NewWriter starts a writer to out.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{lines: make(chan []byte, queuedLines), done: make(chan struct{}), out: out}
+	go w.run()
+	return w
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	for line := range w.lines {
+		if _, err := w.out.Write(line); err != nil {
+			// A log that can't be written has nowhere to say so but the counter.
+			w.dropped.Add(1)
+		}
+	}
+}
+
+// Write queues a copy of a line, or drops it while the queue is full.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines lost in the queue.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is queued, for at most the time given. No line may be
+// written afterwards.
+func (w *Writer) Close(limit time.Duration) {
+	close(w.lines)
+	select {
+	case <-w.done:
+	case <-time.After(limit):
+	}
+}
+
+// Handler is a slog handler that gives each message a budget of lines a second.
+// Warnings and errors have a budget of their own, so that lines on successes do
+// not displace them.
+type Handler struct {
+	slog.Handler
+	budgets *budgets
+}
+
+// budgets are shared by a handler and those derived from it.
+type budgets struct {
+	perSecond int
+	now       func() time.Time
+
+	mu         sync.Mutex
+	byMessage  map[string]*budget
+	nextReport time.Time
+}
+
+// budget is that of one message.
+type budget struct {
+	limiter *rate.Limiter
+	dropped int64
+}
+
+// NewHandler limits each message to some lines a second.
+func NewHandler(inner slog.Handler, perSecond int, now func() time.Time) *Handler {
+	return &Handler{Handler: inner, budgets: &budgets{
+		perSecond: perSecond,
+		now:       now,
+		byMessage: make(map[string]*budget),
+	}}
+}
+
+// Handle passes a record on if its message has budget left.
+func (h *Handler) Handle(ctx context.Context, record slog.Record) error {
+	allowed, summary := h.budgets.take(record)
+	for message, dropped := range summary {
+		line := slog.NewRecord(record.Time, slog.LevelWarn, "log lines dropped", 0)
+		line.AddAttrs(slog.String("message", message), slog.Int64("lines", dropped))
+		if err := h.Handler.Handle(ctx, line); err != nil {
+			return err
+		}
+	}
+	if !allowed {
+		return nil
+	}
+	return h.Handler.Handle(ctx, record)
+}
+
+// WithAttrs returns a handler with more attributes and the same budgets.
+func (h *Handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &Handler{Handler: h.Handler.WithAttrs(attrs), budgets: h.budgets}
+}
+
+// WithGroup returns a handler with a group and the same budgets.
+func (h *Handler) WithGroup(name string) slog.Handler {
+	return &Handler{Handler: h.Handler.WithGroup(name), budgets: h.budgets}
+}
+
+// take spends a message's budget. From time to time it also returns how many
+// lines of each message were dropped since the last report.
+func (b *budgets) take(record slog.Record) (allowed bool, summary map[string]int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entry := b.byMessage[record.Message]
+	if entry == nil {
+		entry = &budget{limiter: rate.NewLimiter(rate.Limit(b.perSecond), b.perSecond)}
+		b.byMessage[record.Message] = entry
+	}
+	now := b.now()
+	allowed = entry.limiter.AllowN(now, 1)
+	if !allowed {
+		entry.dropped++
+	}
+	return allowed, b.report(now)
+}
+
+func (b *budgets) report(now time.Time) map[string]int64 {
+	if now.Before(b.nextReport) {
+		return nil
+	}
+	b.nextReport = now.Add(summaryInterval)
+	var summary map[string]int64
+	for message, entry := range b.byMessage {
+		if entry.dropped == 0 {
+			continue
+		}
+		if summary == nil {
+			summary = make(map[string]int64)
+		}
+		summary[message] = entry.dropped
+		entry.dropped = 0
+	}
+	return summary
+}
--- a/internal/transport/platform/client.go
+++ b/internal/transport/store/client.go
@@ -1,8 +1,8 @@
-// Package platform is the client of the platform's object API over HTTP. It
+// Package store is the client of the platform's object API over HTTP. It
 // stands between the system and an outage: timeouts, back-off with full jitter,
 // a retry budget and a circuit breaker. Outcomes are values; no call panics or
 // returns an error.
-package platform
+package store
 
 import (
 	"context"
--- a/internal/transport/platform/counters.go
+++ b/internal/transport/store/counters.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // Counters counts by name; *expvar.Map is one.
 type Counters interface {
--- a/internal/transport/platform/http.go
+++ b/internal/transport/store/http.go
@@ -1,20 +1,16 @@
-package platform
+package store
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/guavawharf/guavawharf/internal/protocol/platformapi"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
@@ -47,7 +43,7 @@
 	traced := httptrace.WithClientTrace(attemptCtx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	request, err := c.request(traced, call)
+	request, err := c.settings.Protocol.NewRequest(traced, c.base, call)
 	if err != nil {
 		return attempt{cause: causeInvalid}
 	}
@@ -60,37 +56,9 @@
 	if err != nil {
 		return attempt{cause: failureCause(ctx, err, true), sent: true}
 	}
-	return decode(call, response, body)
+	return c.decode(call, response, body)
 }
 
-// request builds the HTTP request of a call.
-func (c *Client) request(ctx context.Context, call objects.Call) (*http.Request, error) {
-	object := c.base + platformapi.PathObjects + "/" + escapeKey(call.Key)
-	query := url.Values{}
-	switch call.Verb {
-	case objects.VerbGet:
-		return http.NewRequestWithContext(ctx, http.MethodGet, object, nil)
-	case objects.VerbPut:
-		query.Set("version", strconv.FormatUint(call.Version, 10))
-		body := bytes.NewReader(call.Value)
-		return http.NewRequestWithContext(ctx, http.MethodPut, object+"?"+query.Encode(), body)
-	case objects.VerbList:
-		query.Set("prefix", call.Key)
-		address := c.base + platformapi.PathObjects + "?" + query.Encode()
-		return http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	case objects.VerbWatch:
-		query.Set("prefix", call.Key)
-		query.Set("after", strconv.FormatUint(call.After, 10))
-		query.Set("wait", strconv.FormatFloat(call.Wait.Seconds(), 'f', -1, 64))
-		address := c.base + platformapi.PathWatch + "?" + query.Encode()
-		return http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	}
-	return nil, errors.ErrUnsupported
-}
-
-// escapeKey escapes a key for the path and keeps its slashes.
-func escapeKey(key string) string { return (&url.URL{Path: key}).EscapedPath() }
-
 func bodyLimit(call objects.Call) int64 {
 	if call.Verb == objects.VerbList || call.Verb == objects.VerbWatch {
 		return maxPageSize
@@ -112,32 +80,34 @@
 }
 
 // decode reads the answer.
-func decode(call objects.Call, response *http.Response, body []byte) attempt {
+func (c *Client) decode(call objects.Call, response *http.Response, body []byte) attempt {
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusCreated:
-		return decodeBody(call, objects.ResultOK, body)
+		return c.decodeBody(call, objects.ResultOK, body)
 	case http.StatusNotFound:
 		return attempt{answered: true, outcome: objects.Outcome{Result: objects.ResultAbsent}}
 	case http.StatusConflict:
-		return decodeBody(call, objects.ResultConflict, body)
+		return c.decodeBody(call, objects.ResultConflict, body)
+	case http.StatusGone:
+		return attempt{answered: true, outcome: objects.Outcome{Result: objects.ResultExpired}}
 	case http.StatusRequestEntityTooLarge:
 		return attempt{cause: causeTooLarge, sent: true}
 	case http.StatusTooManyRequests:
-		return attempt{cause: causeRateLimited, sent: true, retryAfter: retryAfter(response)}
+		return attempt{cause: causeRateLimited, sent: true, retryAfter: c.retryAfter(response)}
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
-		return attempt{cause: causeUnavailable, sent: true, retryAfter: retryAfter(response)}
+		return attempt{cause: causeUnavailable, sent: true, retryAfter: c.retryAfter(response)}
 	}
 	return attempt{cause: causeInvalid, sent: true}
 }
 
-func decodeBody(call objects.Call, result objects.Result, body []byte) attempt {
+func (c *Client) decodeBody(call objects.Call, result objects.Result, body []byte) attempt {
 	a := attempt{answered: true, outcome: objects.Outcome{Result: result}}
 	var err error
 	if call.Verb == objects.VerbList || call.Verb == objects.VerbWatch {
-		err = json.Unmarshal(body, &a.outcome.Page)
+		a.outcome.Page, err = c.settings.Protocol.DecodePage(body)
 	} else if len(body) > 0 || result == objects.ResultOK {
-		err = json.Unmarshal(body, &a.outcome.Object)
+		a.outcome.Object, err = c.settings.Protocol.DecodeObject(body)
 	}
 	if err != nil {
 		return attempt{cause: causeMalformed, sent: true}
@@ -145,14 +115,11 @@
 	return a
 }
 
-// defaultRetryAfter applies to a rate limit that names no time.
-const defaultRetryAfter = 1 * time.Second
-
 // retryAfter reads the header in seconds.
-func retryAfter(response *http.Response) time.Duration {
+func (c *Client) retryAfter(response *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	if err != nil || seconds < 0 || seconds > time.Hour.Seconds() {
-		return defaultRetryAfter
+		return c.settings.RetryAfter
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/transport/platform/settings.go
+++ b/internal/transport/store/settings.go
@@ -1,14 +1,33 @@
-package platform
+package store
 
 import (
 	"cmp"
+	"context"
+	"net/http"
 	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/platformapi"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
+// Protocol binds the calls of the object API to HTTP requests and bodies. The
+// meaning of status codes is the same for every binding.
+type Protocol interface {
+	// NewRequest returns the request of a call, or an error for a call that the
+	// platform does not offer. The base is a URL without a slash at its end.
+	NewRequest(ctx context.Context, base string, call objects.Call) (*http.Request, error)
+	// DecodeObject reads the answer to a get or a put.
+	DecodeObject(body []byte) (objects.Object, error)
+	// DecodePage reads the answer to a list or a watch.
+	DecodePage(body []byte) (objects.Page, error)
+}
+
 // Settings of a Client. Zero fields take the default values.
 type Settings struct {
 	// Address is the base URL, such as "http://192.0.2.10:8500".
 	Address string
+	// Protocol binds calls to HTTP; nil is platformapi.Protocol.
+	Protocol Protocol
 	// Timeout bounds one attempt; a watch gets its own wait on top.
 	Timeout time.Duration
 	// MaxAttempts bounds the attempts of one call, the first included.
@@ -24,6 +43,8 @@
 	FailuresToOpen uint32
 	// OpenFor is how long an open circuit refuses calls before it tries one.
 	OpenFor time.Duration
+	// RetryAfter is the time to hold back after a rate limit that names none.
+	RetryAfter time.Duration
 	// MaxConnections bounds the connections to the platform.
 	MaxConnections int
 }
@@ -38,6 +59,7 @@
 	DefaultBackOffMax     = 2 * time.Second
 	DefaultFailuresToOpen = 5
 	DefaultOpenFor        = 2 * time.Second
+	DefaultRetryAfter     = 1 * time.Second
 	DefaultMaxConnections = 8
 )
 
@@ -49,6 +71,9 @@
 
 // withDefaults fills in the zero fields.
 func (s Settings) withDefaults() Settings {
+	if s.Protocol == nil {
+		s.Protocol = platformapi.Protocol{}
+	}
 	s.Timeout = cmp.Or(s.Timeout, DefaultTimeout)
 	s.MaxAttempts = cmp.Or(s.MaxAttempts, DefaultMaxAttempts)
 	s.RetryRate = cmp.Or(s.RetryRate, DefaultRetryRate)
@@ -57,6 +82,7 @@
 	s.BackOffMax = cmp.Or(s.BackOffMax, DefaultBackOffMax)
 	s.FailuresToOpen = cmp.Or(s.FailuresToOpen, DefaultFailuresToOpen)
 	s.OpenFor = cmp.Or(s.OpenFor, DefaultOpenFor)
+	s.RetryAfter = cmp.Or(s.RetryAfter, DefaultRetryAfter)
 	s.MaxConnections = cmp.Or(s.MaxConnections, DefaultMaxConnections)
 	return s
 }
