Count the circuit's half-open state under a name that the format takes

The breaker's state half-open became a metric name with a hyphen, the metrics library panicked, and the pool's worker swallowed the panic with the call's answer. Ruled out: connections (other calls went on), the breaker itself. Change: the name is translated; a panic in a store call ends the process.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -76,7 +76,7 @@
 }
 
 func newControl(e *Edge) (*control, error) {
-	pool, err := ants.NewPool(storeCalls)
+	pool, err := ants.NewPool(storeCalls, ants.WithPanicHandler(stop))
 	if err != nil {
 		return nil, oops.Code("call_pool").Wrap(err)
 	}
@@ -98,6 +98,10 @@
 	return c, nil
 }
 
+// stop ends the process: a call that panics would leave its follower waiting
+// forever.
+func stop(cause any) { panic(cause) }
+
 func storeSettings(e *Edge) store.Settings {
 	return store.Settings{
 		Address:        "http://" + e.settings.Store.String(),
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/netip"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -40,8 +41,10 @@
 
 func (m *measures) verdict(v steer.Verdict) { m.verdicts[v.Reason].Inc() }
 
-// Add counts a call to the store; it implements store.Counters.
+// Add counts a call to the store; it implements store.Counters. Names of the
+// metrics' format hold no hyphen.
 func (m *measures) Add(name string, delta int64) {
+	name = strings.ReplaceAll(name, "-", "_")
 	m.set.GetOrCreateCounter("guava_" + name + "_total").AddInt64(delta)
 }
 
--- /dev/null
+++ b/internal/edge/measures_test.go
@@ -0,0 +1,23 @@
+package edge
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/sony/gobreaker/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/transport/store"
+)
+
+// A state of the circuit breaker once made a name that the metrics' format
+// refuses; the panic ended the store call without an answer.
+func TestEveryStateOfTheCircuitCanBeCounted(t *testing.T) {
+	m := newMeasures()
+	for _, state := range []gobreaker.State{gobreaker.StateClosed, gobreaker.StateHalfOpen, gobreaker.StateOpen} {
+		require.NotPanics(t, func() { m.Add(store.CountCircuit+state.String(), 1) })
+	}
+	var text strings.Builder
+	m.write(&text)
+	require.Contains(t, text.String(), "guava_platform_circuit_half_open_total 1")
+}
