Check targets that miss answers by a connection, and reset the flows of those gone

Cause: flows at a target that crashed or is beyond a cut waited for the client's deadline. Change: an opening or data without an answer is a hint; a connection to the target's address that can't be made is the proof.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -20,6 +20,8 @@
 	// openings wait for an answer.
 	openings  map[state.FlowKey]*flow
 	nextSweep time.Duration
+	// resets are flows to reset at the next Due.
+	resets []Verdict
 }
 
 // NewEngine returns an engine of a host in a failure domain.
@@ -45,13 +47,45 @@
 	}
 }
 
-// restarted forgets what was seen of a target's earlier life.
+// restarted forgets what was seen of a target's earlier life. Its flows ended
+// with it; those that wait for an answer are better tried again at once.
 func (e *Engine) restarted(now time.Duration, r *record, target *catalog.Target) {
 	r.born = target.Born
-	r.suspect = false
-	r.unanswered = 0
+	r.address = target.Address
+	r.dead = false
+	r.missed = 0
 	r.lastAnswer = now
 	r.warmUntil = now + target.WarmUp
+	for _, f := range e.flows {
+		if f.record == r && f.waiting && f.idempotent {
+			e.reset(f, ReasonTargetReborn)
+		}
+	}
+}
+
+// Checked takes the result of a check.
+func (e *Engine) Checked(now time.Duration, target catalog.TargetID, alive bool) {
+	r := e.records.targets[target]
+	if r == nil || !e.records.checked(now, r, alive) {
+		return
+	}
+	for _, f := range e.flows {
+		if f.record == r && f.hopeless(now) {
+			e.reset(f, ReasonTargetSilent)
+		}
+	}
+}
+
+// reset ends a flow at the next Due.
+func (e *Engine) reset(f *flow, reason Reason) {
+	e.resets = append(e.resets, Verdict{
+		Action:  ActionReset,
+		Reason:  reason,
+		Client:  f.key.Caller,
+		Service: f.key.Service,
+		Seq:     f.ack,
+	})
+	e.forget(f.key)
 }
 
 // Flows returns the number of flows remembered.
@@ -64,6 +98,13 @@
 	return beliefs
 }
 
+// TakeChecks returns the checks to start since the last call.
+func (e *Engine) TakeChecks() []Check {
+	checks := e.records.checks
+	e.records.checks = nil
+	return checks
+}
+
 // Packet decides about a client's packet.
 func (e *Engine) Packet(now time.Duration, p *Packet) Verdict {
 	if !e.view.Ready() {
@@ -80,7 +121,7 @@
 	if target == nil {
 		return Verdict{Reason: ReasonUnknownCookie}
 	}
-	if reset := e.observe(now, route, target, p); reset {
+	if goesOn := e.observe(now, route, target, p); !goesOn {
 		return resetOf(p, ReasonTargetSilent)
 	}
 	return Verdict{Action: ActionForward, Reason: ReasonEstablished, Target: target, Raw: p.Raw}
@@ -102,9 +143,10 @@
 	return Verdict{Action: ActionReset, Reason: reason, Client: p.Client, Service: p.Service, Seq: p.Ack}
 }
 
-// observe learns from a packet of an established flow. It returns true if the
-// flow is better reset.
-func (e *Engine) observe(now time.Duration, route *catalog.RouteEntry, target *catalog.Target, p *Packet) bool {
+// observe learns from a packet of an established flow. It returns false if the
+// flow is better reset: its target is gone and the packet is a new request, which
+// then has not run, or one that may be tried again.
+func (e *Engine) observe(now time.Duration, route *catalog.RouteEntry, target *catalog.Target, p *Packet) (goesOn bool) {
 	key := p.key()
 	f := e.flows[key]
 	if f == nil || f.opening != nil || f.record != e.records.of(target, now) {
@@ -112,16 +154,21 @@
 	}
 	if p.Reset || p.Final && p.Length == 0 {
 		e.forget(key)
-		return false
+		return true
 	}
-	if f.took(now, p) {
+	wasWaiting := f.waiting
+	switch f.took(now, p) {
+	case progressAnswered:
 		e.records.answered(now, f.record)
+	case progressRepeated:
+		e.records.missedOne(now, f.record)
 	}
-	if !f.silent(now) {
-		return false
+	newRequest := f.waiting && !wasWaiting
+	if !f.hopeless(now) && !(newRequest && f.record.gone(now)) {
+		return true
 	}
 	e.forget(key)
-	return true
+	return false
 }
 
 // opened notes that a flow is open at a target: its opening was answered there,
@@ -172,4 +219,15 @@
 			e.forget(key)
 		}
 	}
+	e.records.keep(e.offered)
+}
+
+// offered tells whether a target takes new flows.
+func (e *Engine) offered(id catalog.TargetID) bool {
+	for _, pool := range e.view.Pools {
+		if target := pool.Target(id.Cookie()); target != nil && target.ID == id {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -23,10 +23,10 @@
 	// nextSeq is the end of the data seen, ack the newest acknowledgement.
 	nextSeq uint32
 	ack     uint32
-	// waiting tells that a request was sent and nothing came back since sentAt.
+	// waiting tells that a request was sent and nothing came back since.
 	waiting bool
-	sentAt  time.Duration
-	// repeats counts how often the client sent the request's data again.
+	// repeats counts how often the client repeated itself since something came
+	// back; lastRepeat is when it did so last, or sent the request.
 	repeats    int
 	lastRepeat time.Duration
 }
@@ -48,36 +48,72 @@
 // after compares sequence numbers that wrap around.
 func after(a, b uint32) bool { return int32(a-b) > 0 }
 
-// took notes a packet of an open flow and tells what it proves about the target.
-func (f *flow) took(now time.Duration, p *Packet) (answered bool) {
+// progress is what a packet of an open flow says about its target.
+type progress uint8
+
+const (
+	// progressNone says nothing.
+	progressNone progress = iota
+	// progressAnswered says that the target has sent something new.
+	progressAnswered
+	// progressRepeated says that the client had to repeat itself.
+	progressRepeated
+)
+
+// took notes a packet of an open flow.
+func (f *flow) took(now time.Duration, p *Packet) progress {
+	quiet := now - f.lastSeen
 	f.lastSeen = now
+	if p.Length > 0 && after(p.Seq+uint32(p.Length), f.nextSeq) {
+		return f.tookRequest(now, p)
+	}
 	if after(p.Ack, f.ack) {
 		f.ack = p.Ack
-		answered = true
 		f.settle()
+		return progressAnswered
+	}
+	if p.Length > 0 {
+		return f.tookRepeat(now)
 	}
-	if p.Length == 0 {
-		return answered
+	if f.waiting {
+		// The client acknowledges again what it had: the answer has begun to
+		// arrive, with its first packet missing or late.
+		f.settle()
+		return progressAnswered
 	}
-	end := p.Seq + uint32(p.Length)
-	if after(end, f.nextSeq) {
-		f.nextSeq = end
-		f.startWaiting(now)
-		return answered
+	if quiet >= repeatSpacing {
+		// The target repeated what this client has acknowledged.
+		return f.tookRepeat(now)
 	}
-	f.noteRepeat(now)
-	return answered
+	return progressNone
 }
 
-// startWaiting begins the wait for the answer to new data.
-func (f *flow) startWaiting(now time.Duration) {
+// tookRequest notes new data. What it acknowledges besides may be old.
+func (f *flow) tookRequest(now time.Duration, p *Packet) progress {
+	result := progressNone
+	if after(p.Ack, f.ack) {
+		f.ack = p.Ack
+		result = progressAnswered
+	}
+	f.nextSeq = p.Seq + uint32(p.Length)
 	if !f.waiting {
 		f.waiting = true
 		f.record.waiting++
 	}
-	f.sentAt = now
 	f.lastRepeat = now
 	f.repeats = 0
+	return result
+}
+
+// tookRepeat counts a repeat, unless it comes so soon after the last that both
+// were held up on the way.
+func (f *flow) tookRepeat(now time.Duration) progress {
+	if now-f.lastRepeat < repeatSpacing {
+		return progressNone
+	}
+	f.lastRepeat = now
+	f.repeats++
+	return progressRepeated
 }
 
 // settle ends the wait: something came back.
@@ -89,24 +125,12 @@
 	f.repeats = 0
 }
 
-// noteRepeat counts a repeat of data, unless it arrives so soon after the last
-// that both were held up on the way.
-func (f *flow) noteRepeat(now time.Duration) {
-	if now-f.lastRepeat < repeatSpacing {
-		return
-	}
-	f.repeats++
-	f.lastRepeat = now
-}
-
-// silent tells that the flow's target has fallen silent towards everybody, so
-// that a new try serves the client better than waiting.
-func (f *flow) silent(now time.Duration) bool {
-	if !f.waiting || f.repeats == 0 || !f.idempotent {
-		return false
-	}
-	if now-f.record.lastAnswer < silentAfter {
+// hopeless tells that the flow waits for a target that is gone, so that a new
+// try serves the client better. Only requests that may be tried again are worth
+// it: of others the target may have run one before it went.
+func (f *flow) hopeless(now time.Duration) bool {
+	if f.opening != nil || !f.idempotent {
 		return false
 	}
-	return f.repeats >= silentRepeats || f.record.suspect || f.record.domain.suspect
+	return (f.waiting || f.repeats > 0) && f.record.gone(now)
 }
--- a/internal/coordination/steer/opening.go
+++ b/internal/coordination/steer/opening.go
@@ -42,7 +42,7 @@
 func (e *Engine) reoffer(now time.Duration, f *flow) Verdict {
 	o := f.opening
 	if n := len(o.tried); n > 0 {
-		e.records.unansweredOpening(now, o.tried[n-1])
+		e.records.missedOne(now, o.tried[n-1])
 	}
 	return e.offer(now, f, ReasonOfferedAgain)
 }
@@ -80,8 +80,13 @@
 	}
 }
 
-// NextDue returns when Due has something to decide; ok is false for never.
+// NextDue returns when Due has something to decide, 0 for at once; ok is false
+// for never.
 func (e *Engine) NextDue() (at time.Duration, ok bool) {
+	if len(e.resets) > 0 {
+		return 0, true
+	}
+	at, ok = e.records.nextCheck()
 	for _, f := range e.openings {
 		if !ok || f.opening.due < at {
 			at, ok = f.opening.due, true
@@ -108,6 +113,9 @@
 		}
 		verdicts = append(verdicts, e.reoffer(now, f))
 	}
+	e.records.recheck(now)
+	verdicts = append(verdicts, e.resets...)
+	e.resets = e.resets[:0]
 	e.sweep(now)
 	return verdicts
 }
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -7,8 +7,8 @@
 )
 
 // choose returns the target with the lowest cost that was not tried yet. When
-// every one is suspect the cheapest of those is taken: a wrong suspicion must
-// not refuse work that could be served.
+// every one seems not to answer the cheapest of those is taken: a wrong belief
+// must not refuse work that could be served.
 func (e *Engine) choose(now time.Duration, pool *catalog.Pool, tried []*record) (*catalog.Target, *record) {
 	var best, second candidate
 	for _, target := range pool.Offered {
@@ -17,7 +17,7 @@
 			continue
 		}
 		c := candidate{target: target, record: r, cost: e.cost(now, target, r)}
-		if r.barred(now) {
+		if r.barred() {
 			second = second.cheaper(c, e.random)
 		} else {
 			best = best.cheaper(c, e.random)
@@ -26,9 +26,6 @@
 	if best.target == nil {
 		best = second
 	}
-	if best.target != nil {
-		best.record.probed(now)
-	}
 	return best.target, best.record
 }
 
@@ -63,16 +60,12 @@
 func (e *Engine) cost(now time.Duration, target *catalog.Target, r *record) float64 {
 	load := float64(r.offers+r.waiting+1) + openFlowCost*float64(r.open)
 	cost := load / float64(target.Slots)
-	if !r.domain.own {
+	if !r.own {
 		cost += remoteCost
 	}
 	if now < r.warmUntil {
 		cost += warmingCost
 	}
-	if r.suspect || r.domain.suspect {
-		// A probe is due: the opening goes there unless the load speaks against it.
-		cost -= remoteCost
-	}
 	return cost
 }
 
--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -9,9 +10,12 @@
 
 // record is what the host has seen of one target.
 type record struct {
-	name   string
-	domain *domainRecord
-	born   int64
+	id      catalog.TargetID
+	name    string
+	address netip.AddrPort
+	domain  state.DomainID
+	own     bool
+	born    int64
 	// offers is the number of openings that wait for an answer.
 	offers int
 	// waiting is the number of flows with a request that is not answered yet.
@@ -20,27 +24,29 @@
 	open int
 	// lastAnswer is when the target was last seen to answer.
 	lastAnswer time.Duration
-	// unanswered counts openings in a row without an answer.
-	unanswered int
-	suspect    bool
-	nextProbe  time.Duration
+	// missed counts openings and repeats in a row without an answer.
+	missed int
+	// checking tells that a check of the target's address runs; nextCheck is when
+	// the next may start.
+	checking  bool
+	nextCheck time.Duration
+	// dead tells that a check failed; confirmed is when the last one did.
+	dead      bool
+	confirmed time.Duration
 	// warmUntil is when the target stops being slow after its start.
 	warmUntil time.Duration
 	answers   answerTime
 }
 
-// domainRecord is what the host has seen of one failure domain.
-type domainRecord struct {
-	id         state.DomainID
-	own        bool
-	lastAnswer time.Duration
-	// turned are the times at which targets turned suspect, newest last, since
-	// the last answer of any.
-	turned    []time.Duration
-	suspect   bool
-	nextProbe time.Duration
+// gone tells that the target does not answer, by evidence that is recent enough
+// to reset flows by.
+func (r *record) gone(now time.Duration) bool {
+	return r.dead && now-r.confirmed <= evidenceLifetime
 }
 
+// barred tells that the target is to get no new flow now.
+func (r *record) barred() bool { return r.dead || r.checking && r.missed > 0 }
+
 // answerTime estimates how long a target takes to answer an opening, as
 // RFC 6298 does for round trips.
 type answerTime struct {
@@ -66,7 +72,7 @@
 // another target.
 func (r *record) patience() time.Duration {
 	if r.answers.mean == 0 {
-		if r.domain.own {
+		if r.own {
 			return offerLocal
 		}
 		return offerRemote
@@ -74,29 +80,28 @@
 	return min(max(r.answers.mean+offerDeviations*r.answers.deviation, offerMin), offerMax)
 }
 
-// records finds the records of targets and domains.
+// records finds the records of targets.
 type records struct {
 	own     state.DomainID
 	targets map[catalog.TargetID]*record
-	domains map[state.DomainID]*domainRecord
-	// beliefs are the changes since they were last taken.
+	// checks are the checks to start, beliefs the changes since both were taken.
+	checks  []Check
 	beliefs []Belief
 }
 
 func newRecords(own state.DomainID) records {
-	return records{
-		own:     own,
-		targets: make(map[catalog.TargetID]*record),
-		domains: make(map[state.DomainID]*domainRecord),
-	}
+	return records{own: own, targets: make(map[catalog.TargetID]*record)}
 }
 
 func (rs *records) of(target *catalog.Target, now time.Duration) *record {
 	r := rs.targets[target.ID]
 	if r == nil {
 		r = &record{
+			id:         target.ID,
 			name:       target.Name,
-			domain:     rs.domain(target.Domain),
+			address:    target.Address,
+			domain:     target.Domain,
+			own:        target.Domain == rs.own,
 			born:       target.Born,
 			lastAnswer: now,
 			warmUntil:  now + target.WarmUp,
@@ -106,77 +111,91 @@
 	return r
 }
 
-func (rs *records) domain(id state.DomainID) *domainRecord {
-	d := rs.domains[id]
-	if d == nil {
-		d = &domainRecord{id: id, own: id == rs.own}
-		rs.domains[id] = d
-	}
-	return d
-}
-
-// answered notes that a target has answered something.
+// answered notes that a target has answered something. Of a target that failed
+// a check only a later check can say otherwise: behind a cut that lets answers
+// through, clients still acknowledge what it sent.
 func (rs *records) answered(now time.Duration, r *record) {
-	silence := now - r.lastAnswer
 	r.lastAnswer = now
-	r.unanswered = 0
-	d := r.domain
-	d.lastAnswer = now
-	d.turned = d.turned[:0]
-	if d.suspect {
-		d.suspect = false
-		rs.believe(Belief{Domain: d.id, Silence: silence})
-	}
-	if r.suspect {
-		r.suspect = false
-		rs.believe(Belief{Target: r.name, Domain: d.id, Silence: silence})
-	}
+	r.missed = 0
 }
 
-// unansweredOpening notes that an opening at the target stayed without answer.
-func (rs *records) unansweredOpening(now time.Duration, r *record) {
-	r.unanswered++
-	if r.unanswered < suspectAfter || r.suspect {
+// missedOne notes that an opening or data at a target stayed without an answer,
+// and has the target checked.
+func (rs *records) missedOne(now time.Duration, r *record) {
+	r.missed++
+	rs.check(now, r)
+}
+
+// check asks for a check of a target unless one runs or ran just now.
+func (rs *records) check(now time.Duration, r *record) {
+	if r.checking || now < r.nextCheck {
 		return
 	}
-	r.suspect = true
-	r.nextProbe = now + probeInterval
-	rs.believe(Belief{Target: r.name, Domain: r.domain.id, Suspect: true, Unanswered: r.unanswered, Silence: now - r.lastAnswer})
-	rs.suspectDomain(now, r.domain)
+	r.checking = true
+	rs.checks = append(rs.checks, Check{Target: r.id, Address: r.address, Remote: !r.own})
 }
 
-// suspectDomain suspects a whole failure domain beyond a cut. The own domain
-// has no other to go to first and is judged target by target.
-func (rs *records) suspectDomain(now time.Duration, d *domainRecord) {
-	for len(d.turned) > 0 && now-d.turned[0] > domainWindow {
-		d.turned = d.turned[1:]
+// checked takes the result of a check and tells whether the target turned out
+// to be gone.
+func (rs *records) checked(now time.Duration, r *record, alive bool) (turnedDead bool) {
+	r.checking = false
+	r.nextCheck = now + checkInterval
+	quiet := now - r.lastAnswer
+	if alive {
+		rs.answered(now, r)
+		if r.dead {
+			r.dead = false
+			rs.beliefs = append(rs.beliefs, Belief{Target: r.name, Domain: r.domain, Silence: quiet})
+		}
+		return false
 	}
-	d.turned = append(d.turned, now)
-	if d.own || d.suspect || len(d.turned) < domainSuspects {
-		return
+	r.confirmed = now
+	if r.dead {
+		return false
 	}
-	d.suspect = true
-	d.nextProbe = now + probeInterval
-	rs.believe(Belief{Domain: d.id, Suspect: true, Unanswered: len(d.turned), Silence: now - d.lastAnswer})
+	r.dead = true
+	rs.beliefs = append(rs.beliefs, Belief{Target: r.name, Domain: r.domain, Dead: true, Missed: r.missed, Silence: quiet})
+	rs.checkNeighbours(now, r)
+	return true
 }
 
-func (rs *records) believe(b Belief) { rs.beliefs = append(rs.beliefs, b) }
+// checkNeighbours has the other targets of a remote failure domain checked: a
+// cut between the domains hides all of them at once.
+func (rs *records) checkNeighbours(now time.Duration, r *record) {
+	if r.own {
+		return
+	}
+	for _, other := range rs.targets {
+		if other.domain == r.domain && other.open+other.offers > 0 {
+			rs.check(now, other)
+		}
+	}
+}
 
-// barred tells that a target is to get no new flow now: it or its domain is
-// suspect and no probe is due.
-func (r *record) barred(now time.Duration) bool {
-	if r.domain.suspect && now < r.domain.nextProbe {
-		return true
+// nextCheck returns when a target that failed its check is to be checked again.
+func (rs *records) nextCheck() (at time.Duration, ok bool) {
+	for _, r := range rs.targets {
+		if r.dead && !r.checking && (!ok || r.nextCheck < at) {
+			at, ok = r.nextCheck, true
+		}
 	}
-	return r.suspect && now < r.nextProbe
+	return at, ok
 }
 
-// probed notes that a suspect target gets an opening as a probe.
-func (r *record) probed(now time.Duration) {
-	if r.domain.suspect {
-		r.domain.nextProbe = now + probeInterval
+// recheck has the targets checked again that failed their check.
+func (rs *records) recheck(now time.Duration) {
+	for _, r := range rs.targets {
+		if r.dead {
+			rs.check(now, r)
+		}
 	}
-	if r.suspect {
-		r.nextProbe = now + probeInterval
+}
+
+// keep forgets targets that are neither offered nor have flows.
+func (rs *records) keep(offered func(catalog.TargetID) bool) {
+	for id, r := range rs.targets {
+		if r.open+r.offers+r.waiting == 0 && !r.checking && !offered(id) {
+			delete(rs.targets, id)
+		}
 	}
 }
--- a/internal/coordination/steer/settings.go
+++ b/internal/coordination/steer/settings.go
@@ -22,29 +22,16 @@
 	maxOffers = 5
 )
 
-// Suspicion of targets that leave openings unanswered.
+// Checks of targets that leave openings or data unanswered.
 const (
-	// suspectAfter openings without an answer in a row make a target suspect: one
-	// may be a lost datagram.
-	suspectAfter = 2
-	// probeInterval is how often a suspect target gets one opening.
-	probeInterval = 500 * time.Millisecond
-	// domainSuspects targets of a failure domain that turn suspect within
-	// domainWindow, none of the domain answering, make the domain suspect.
-	domainSuspects = 2
-	domainWindow   = 1500 * time.Millisecond
-)
-
-// Resets of flows whose target fell silent. The client repeats unanswered data
-// after 200 ms, 400 ms and so on.
-const (
-	// repeatSpacing tells a repeat from copies that the host itself held up.
+	// checkInterval is the time from the end of a check to the next.
+	checkInterval = 400 * time.Millisecond
+	// evidenceLifetime bounds the age of a failed check that flows are reset by.
+	// It is well below the 4 s for which a healed link still counts as disturbed.
+	evidenceLifetime = 1500 * time.Millisecond
+	// repeatSpacing tells a client's repeat, which comes after 200 ms, from copies
+	// that the host itself held up.
 	repeatSpacing = 100 * time.Millisecond
-	// silentAfter without an answer to anybody makes a target silent.
-	silentAfter = 250 * time.Millisecond
-	// silentRepeats is the number of repeats on one flow that prove the silence
-	// of a target which nobody else suspects.
-	silentRepeats = 2
 )
 
 // Costs of a target for a new flow, in requests a slot.
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -81,15 +81,24 @@
 	Raw []byte
 }
 
-// Belief is what the host believes about a target or a failure domain.
+// Belief is a change of what the host believes about a target.
 type Belief struct {
-	// Target is empty for a whole failure domain.
 	Target string
 	Domain state.DomainID
-	// Suspect tells that it stopped answering; false that it answers again.
-	Suspect bool
-	// Unanswered is the number of openings in a row without an answer.
-	Unanswered int
+	// Dead tells that the target does not answer; false that it does again.
+	Dead bool
+	// Missed is the number of openings and repeats in a row without an answer.
+	Missed int
 	// Silence is the time since the last answer.
 	Silence time.Duration
 }
+
+// Check asks whether anything answers at a target's address. Openings and data
+// without an answer are a hint only, since datagrams get lost; a connection that
+// can't be made is proof.
+type Check struct {
+	Target  catalog.TargetID
+	Address netip.AddrPort
+	// Remote tells that the target is in another failure domain.
+	Remote bool
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,7 +51,10 @@
 	if err != nil {
 		return nil, err
 	}
-	e.traffic = newTraffic(e, socket, steer.NewEngine(settings.Domain, rand.Float64))
+	e.traffic, err = newTraffic(e, socket, steer.NewEngine(settings.Domain, rand.Float64))
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
 	e.control, err = newControl(e)
 	if err != nil {
 		return nil, errors.Join(err, socket.Close())
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -16,6 +16,7 @@
 	verdicts   map[steer.Reason]*metrics.Counter
 	badPackets *metrics.Counter
 	sendFailed *metrics.Counter
+	checks     *metrics.Counter
 }
 
 // countedReasons are those with a counter of their own.
@@ -31,6 +32,7 @@
 		set:        set,
 		verdicts:   make(map[steer.Reason]*metrics.Counter),
 		badPackets: set.NewCounter("guava_bad_packets_total"),
+		checks:     set.NewCounter("guava_target_checks_total"),
 		sendFailed: set.NewCounter("guava_datagrams_not_sent_total"),
 	}
 	for _, reason := range countedReasons {
@@ -70,12 +72,12 @@
 		"target", target, "reset", v.Action == steer.ActionReset)
 }
 
-// logBelief logs a change of what the host believes.
+// logBelief logs a change of what the host believes about a target.
 func (e *Edge) logBelief(b steer.Belief) {
-	message := "answers again"
-	if b.Suspect {
-		message = "suspect, stopped answering"
+	message := "target answers again"
+	if b.Dead {
+		message = "target does not answer"
 	}
 	e.log.Warn(message, "target", b.Target, "domain", string(b.Domain),
-		"unanswered", b.Unanswered, "silence", b.Silence.String())
+		"missed", b.Missed, "silence", b.Silence.String())
 }
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -41,18 +41,24 @@
 	writer   *udp.Writer
 	engine   *steer.Engine
 	view     *catalog.View
+	checker  *checker
 	verdicts []steer.Verdict
 	now      time.Duration
 }
 
-func newTraffic(e *Edge, socket *udp.Socket, engine *steer.Engine) *traffic {
-	return &traffic{
-		edge:   e,
-		socket: socket,
-		reader: udp.NewReader(socket, func() *slot { return new(slot) }),
-		writer: udp.NewWriter(socket),
-		engine: engine,
+func newTraffic(e *Edge, socket *udp.Socket, engine *steer.Engine) (*traffic, error) {
+	checker, err := newChecker(e, socket)
+	if err != nil {
+		return nil, err
 	}
+	return &traffic{
+		checker: checker,
+		edge:    e,
+		socket:  socket,
+		reader:  udp.NewReader(socket, func() *slot { return new(slot) }),
+		writer:  udp.NewWriter(socket),
+		engine:  engine,
+	}, nil
 }
 
 // run forwards until the socket is closed.
@@ -62,6 +68,7 @@
 		t.setWake(settling)
 		err := t.reader.Read(t.take)
 		t.now = t.edge.now()
+		t.takeChecked()
 		switch {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -93,6 +100,22 @@
 	if err := t.socket.StopReading(t.edge.start.Add(wake)); err != nil && !isClosed(err) {
 		t.edge.log.Error("read deadline not set", "error", err.Error())
 	}
+	if len(t.checker.results) > 0 {
+		// A result that came just now has been overlooked by the last pass.
+		t.checker.wake()
+	}
+}
+
+// takeChecked hands the results of checks to the engine.
+func (t *traffic) takeChecked() {
+	for {
+		select {
+		case result := <-t.checker.results:
+			t.engine.Checked(t.now, result.target, result.alive)
+		default:
+			return
+		}
+	}
 }
 
 // refresh takes the newest view.
@@ -170,6 +193,11 @@
 		t.edge.metrics.sendFailed.Add(failed)
 		t.edge.log.Warn("datagrams not sent", "count", failed)
 	}
+	for _, check := range t.engine.TakeChecks() {
+		if !t.checker.start(check) {
+			t.engine.Checked(t.now, check.Target, true)
+		}
+	}
 	for _, belief := range t.engine.TakeBeliefs() {
 		t.edge.logBelief(belief)
 	}
