Have a target that failed a check tell its name before it counts as back

Change: the check of a target believed dead asks for the target's name over HTTP; a silent address that connects counts as busy.

--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -13,9 +13,11 @@
 	id      catalog.TargetID
 	name    string
 	address netip.AddrPort
-	domain  state.DomainID
-	own     bool
-	born    int64
+	// healthPath is where the target tells its name over HTTP.
+	healthPath string
+	domain     state.DomainID
+	own        bool
+	born       int64
 	// offers is the number of openings that wait for an answer.
 	offers int
 	// waiting is the number of flows with a request that is not answered yet.
@@ -100,6 +102,7 @@
 			id:         target.ID,
 			name:       target.Name,
 			address:    target.Address,
+			healthPath: target.HealthPath,
 			domain:     target.Domain,
 			own:        target.Domain == rs.own,
 			born:       target.Born,
@@ -132,7 +135,11 @@
 		return
 	}
 	r.checking = true
-	rs.checks = append(rs.checks, Check{Target: r.id, Address: r.address, Remote: !r.own})
+	check := Check{Target: r.id, Address: r.address, HealthPath: r.healthPath}
+	if r.dead {
+		check.Name = r.name
+	}
+	rs.checks = append(rs.checks, check)
 }
 
 // checked takes the result of a check and tells whether the target turned out
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -93,12 +93,15 @@
 	Silence time.Duration
 }
 
-// Check asks whether anything answers at a target's address. Openings and data
+// Check asks whether a target's address answers. Openings and data
 // without an answer are a hint only, since datagrams get lost; a connection that
 // can't be made is proof.
 type Check struct {
 	Target  catalog.TargetID
 	Address netip.AddrPort
-	// Remote tells that the target is in another failure domain.
-	Remote bool
+	// Name is who has to be there; empty when it is enough that anything answers.
+	// A target that failed a check may have ended and left its address to another.
+	Name string
+	// HealthPath is where a target tells its name over HTTP.
+	HealthPath string
 }
--- a/internal/edge/checker.go
+++ b/internal/edge/checker.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/transport/udp"
+	"github.com/guavawharf/guavawharf/platform"
 )
 
 // Limits of the checks of targets.
@@ -72,13 +75,16 @@
 	}
 }
 
-// connects tells whether the address takes a connection, or can't be shown not to.
+// connects tells whether the target answers, or can't be shown not to.
 func connects(check steer.Check) bool {
 	for range checkAttempts {
 		began := time.Now()
-		err := connect(check)
+		alive, err := attempt(check)
 		late := time.Since(began) > lateFactor*checkTimeout
-		if err == nil || late {
+		if err == nil {
+			return alive
+		}
+		if late {
 			return true
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -88,13 +94,39 @@
 	return false
 }
 
-// connect opens a connection and closes it.
-func connect(check steer.Check) error {
+// attempt opens a connection and asks for the target's name if it matters. An
+// address that connects and then stays silent is that of a busy target.
+func attempt(check steer.Check) (alive bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", check.Address.String())
 	if err != nil {
-		return err
+		return false, err
+	}
+	defer func() { _ = conn.Close() }()
+	if check.Name == "" {
+		return true, nil
+	}
+	name, err := askName(conn, check)
+	return err != nil || name == check.Name, nil
+}
+
+// askName asks the target at the other end for its name.
+func askName(conn net.Conn, check steer.Check) (string, error) {
+	if err := conn.SetDeadline(time.Now().Add(checkTimeout)); err != nil {
+		return "", err
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+check.Address.String()+check.HealthPath, nil)
+	if err != nil {
+		return "", err
+	}
+	if err := request.Write(conn); err != nil {
+		return "", err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return "", err
 	}
-	return conn.Close()
+	_ = response.Body.Close()
+	return response.Header.Get(platform.HeaderTarget), nil
 }
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -31,6 +31,8 @@
 	Pool    PoolID
 	Domain  state.DomainID
 	Address netip.AddrPort
+	// HealthPath is where the target tells its name and health over HTTP.
+	HealthPath string
 	// Slots is the number of requests that the target works on at a time.
 	Slots int
 	// Draining targets are about to leave and get no new flows.
@@ -68,4 +70,7 @@
 	Version     uint64
 	Routes      []Route
 	IdleTimeout time.Duration
+	// HealthPaths holds, for each pool, where its targets tell their name and
+	// health over HTTP.
+	HealthPaths map[PoolID]string
 }
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -136,7 +136,7 @@
 		IdleTimeout: d.config.IdleTimeout,
 		Routes:      make(map[netip.AddrPort]*RouteEntry, len(d.config.Routes)),
 		Pools:       make(map[PoolID]*Pool),
-	}}
+	}, healthPaths: d.config.HealthPaths}
 	for _, target := range d.targets {
 		b.add(target, !target.Draining)
 	}
@@ -166,7 +166,8 @@
 
 // builder collects the pools of a view.
 type builder struct {
-	view *View
+	view        *View
+	healthPaths map[PoolID]string
 }
 
 func (b *builder) pool(id PoolID) *Pool {
@@ -181,6 +182,7 @@
 // add takes a target. Of two targets of a pool with the same cookie the one that
 // started first has it; the other is not offered until the first is forgotten.
 func (b *builder) add(target Target, offered bool) {
+	target.HealthPath = b.healthPaths[target.Pool]
 	pool := b.pool(target.Pool)
 	cookie := target.ID.Cookie()
 	other := pool.targets[cookie]
