Poll the store for changes instead of keeping watches waiting

Ruled out: watches that wait longer (still a call a change and host). Change: one poll a kind and 0.65 of its bound, which alone carries the guarantee; the drain bound has a setting of its own.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -1,7 +1,8 @@
 // Package follow decides when and how to read one kind of objects from the
 // store, so that a change there is known within a bound on every kind of outage.
-// A list is followed by watches that each wait for a bounded time only: a watch
-// that hears nothing may have been cut off without a sign.
+// A list is followed by polls for what changed since. A poll returns at once: a
+// watch that waits for the next change costs a call for each change and host,
+// and one that hears nothing may have been cut off without a sign.
 package follow
 
 import (
@@ -14,11 +15,8 @@
 type Settings struct {
 	// Kind is the kind of objects to follow.
 	Kind string
-	// Wait is how long one watch waits for a change.
-	Wait time.Duration
-	// Pause is the time from a watch that brought changes to the next one, so
-	// that changes in quick succession arrive together.
-	Pause time.Duration
+	// Interval is the time from the answer of a poll to the next poll.
+	Interval time.Duration
 	// RetryMin and RetryMax bound the time to the next call after a failure.
 	RetryMin time.Duration
 	RetryMax time.Duration
@@ -32,7 +30,7 @@
 type Follower struct {
 	settings Settings
 	random   Random
-	// revision is what the next watch starts after, once listed.
+	// revision is what the next poll starts after, once listed.
 	revision uint64
 	listed   bool
 	// from and seen belong to a list that is being read page by page.
@@ -71,12 +69,7 @@
 	if !f.listed || f.seen != nil {
 		return f.list(), true
 	}
-	wait := f.settings.Wait
-	if f.failures > 0 {
-		// After a failure the first answer counts, not the first change.
-		wait = 0
-	}
-	return objects.Call{Verb: objects.VerbWatch, Key: f.settings.Kind, After: f.revision, Wait: wait}, true
+	return objects.Call{Verb: objects.VerbWatch, Key: f.settings.Kind, After: f.revision}, true
 }
 
 func (f *Follower) list() objects.Call {
@@ -126,7 +119,7 @@
 		f.seen[object.Key] = true
 	}
 	if f.from == "" {
-		// Changes made while later pages are read come by the watch.
+		// Changes made while later pages are read come by the next poll.
 		f.revision = page.Revision
 	}
 	f.due = now
@@ -137,15 +130,13 @@
 	change.Listed = f.seen
 	f.seen = nil
 	f.listed = true
+	f.due = now + f.settings.Interval
 	return change
 }
 
 func (f *Follower) tookEvents(now time.Duration, page objects.Page) Change {
 	f.revision = max(f.revision, page.Revision)
-	f.due = now
-	if len(page.Objects) > 0 {
-		f.due = now + f.settings.Pause
-	}
+	f.due = now + f.settings.Interval
 	return Change{Objects: page.Objects}
 }
 
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -16,19 +16,17 @@
 	"github.com/guavawharf/guavawharf/platform"
 )
 
-// Timing of the calls to the store, as shares of the bound on changes: a watch
-// that was cut off unnoticed, a timeout and two more tries fit into the bound.
+// Timing of the calls to the store, as shares of the bound on changes: an
+// interval, a timeout and another try fit into the bound.
 const (
-	waitShare    = 0.55
-	timeoutShare = 0.2
+	intervalShare = 0.65
+	timeoutShare  = 0.2
 )
 
 // Limits of the calls to the store.
 const (
-	// changesPause collects changes that come in quick succession.
-	changesPause = 200 * time.Millisecond
-	retryMin     = 50 * time.Millisecond
-	retryMax     = 400 * time.Millisecond
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
 	// storeConnections and storeCalls are one for each follower.
 	storeConnections = 2
 	storeCalls       = 2
@@ -93,8 +91,8 @@
 			LapseGrace:   lapseGrace,
 		}),
 	}
-	c.follow(platform.KindConfig, 0, c.applyConfig)
-	c.follow(platform.KindTargets, changesPause, c.applyTargets)
+	c.follow(platform.KindConfig, e.settings.ChangeBound, c.applyConfig)
+	c.follow(platform.KindTargets, e.settings.DrainBound, c.applyTargets)
 	return c, nil
 }
 
@@ -106,7 +104,7 @@
 	return store.Settings{
 		Address:        "http://" + e.settings.Store.String(),
 		Protocol:       platform.Protocol{},
-		Timeout:        share(e.settings.ChangeBound, timeoutShare),
+		Timeout:        share(min(e.settings.ChangeBound, e.settings.DrainBound), timeoutShare),
 		MaxAttempts:    1,
 		MaxConnections: storeConnections,
 		FailuresToOpen: failuresToOpen,
@@ -117,14 +115,13 @@
 
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
 
-func (c *control) follow(kind string, pause time.Duration, apply func(time.Duration, follow.Change) bool) {
+func (c *control) follow(kind string, bound time.Duration, apply func(time.Duration, follow.Change) bool) {
 	c.followers = append(c.followers, &followed{
 		kind:  kind,
 		apply: apply,
 		follower: follow.New(follow.Settings{
 			Kind:     kind,
-			Wait:     share(c.edge.settings.ChangeBound, waitShare),
-			Pause:    pause,
+			Interval: share(bound, intervalShare),
 			RetryMin: retryMin,
 			RetryMax: retryMax,
 		}, rand.Float64),
--- a/internal/protocol/edgesettings/settings.go
+++ b/internal/protocol/edgesettings/settings.go
@@ -25,9 +25,10 @@
 	Metrics netip.AddrPort
 	// Store is the address of the platform's object store.
 	Store netip.AddrPort
-	// ChangeBound is the time within which a change of the configuration or of
-	// the targets has to take effect.
+	// ChangeBound is the time within which a new configuration has to take
+	// effect, DrainBound that within which a leaving target gets no new flow.
 	ChangeBound time.Duration
+	DrainBound  time.Duration
 	// LeaveDeadline bounds a graceful shutdown.
 	LeaveDeadline time.Duration
 	// MaxFlowAge is the age of the oldest open flow.
@@ -40,6 +41,7 @@
 // Defaults.
 const (
 	DefaultChangeBound   = 3 * time.Second
+	DefaultDrainBound    = 3 * time.Second
 	DefaultLeaveDeadline = 5 * time.Second
 	DefaultMaxFlowAge    = time.Minute
 	DefaultLogLevel      = "info"
@@ -86,6 +88,7 @@
 		Metrics:       host.AddrPort("metrics"),
 		Store:         root.Sub("store").AddrPort("address"),
 		ChangeBound:   bounds.Duration("change", DefaultChangeBound, minChangeBound, maxChangeBound),
+		DrainBound:    bounds.Duration("drain", DefaultDrainBound, minChangeBound, maxChangeBound),
 		LeaveDeadline: bounds.Duration("leave", DefaultLeaveDeadline, minLeaveDeadline, maxLeaveDeadline),
 		MaxFlowAge:    bounds.Duration("max_flow_age", DefaultMaxFlowAge, minMaxFlowAge, maxMaxFlowAge),
 		LogLevel:      level,
