--- a/internal/coordination/steer/settings.go
+++ b/internal/coordination/steer/settings.go
@@ -25,7 +25,7 @@
 // Checks of targets that leave openings or data unanswered.
 const (
 	// checkInterval is the time from the end of a check to the next.
-	checkInterval = 400 * time.Millisecond
+	checkInterval = 600 * time.Millisecond
 	// evidenceLifetime bounds the age of a failed check that flows are reset by.
 	// It is well below the 4 s for which a healed link still counts as disturbed.
 	evidenceLifetime = 1500 * time.Millisecond
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -55,6 +55,8 @@
 	cancel    context.CancelFunc
 	// rebuildAt is when the view changes by time alone, 0 for never.
 	rebuildAt time.Duration
+	// wasReady tells that a view that can serve was published.
+	wasReady bool
 	// storeLost tells that the store's loss was logged.
 	storeLost bool
 }
@@ -206,11 +208,12 @@
 
 // publish puts a new view in force.
 func (c *control) publish(now time.Duration) {
-	before := c.edge.ready()
 	var view *catalog.View
 	view, c.rebuildAt = c.directory.View(now)
 	c.edge.view.Store(view)
-	if !before && c.edge.ready() {
+	if !c.wasReady && view.Ready() {
+		c.wasReady = true
+		close(c.edge.firstReady)
 		c.edge.log.Info("ready", "config", view.Version, "targets", c.directory.Targets(), "after", now.String())
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,6 +36,8 @@
 	start    time.Time
 	view     atomic.Pointer[catalog.View]
 	leaving  atomic.Bool
+	// firstReady is closed when the host can serve for the first time.
+	firstReady chan struct{}
 	// lastPacket is when the newest packet arrived, in nanoseconds from start.
 	lastPacket atomic.Int64
 	metrics    *measures
@@ -46,7 +48,7 @@
 
 // New opens every socket. Nothing is served before Run.
 func New(settings edgesettings.Settings, log *slog.Logger) (*Edge, error) {
-	e := &Edge{settings: settings, log: log, start: time.Now(), metrics: newMeasures()}
+	e := &Edge{settings: settings, log: log, start: time.Now(), firstReady: make(chan struct{}), metrics: newMeasures()}
 	socket, err := udp.Listen(settings.Packets)
 	if err != nil {
 		return nil, err
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -14,6 +14,9 @@
 
 // Timing of the traffic loop.
 const (
+	// holdAtStart bounds the wait for the first view: a start takes less where the
+	// store answers.
+	holdAtStart = 400 * time.Millisecond
 	// idleWake is the longest time between two looks at flows and settings.
 	idleWake = time.Second
 	// settleTime lets packets that already arrived be read before an overdue
@@ -61,8 +64,14 @@
 	}, nil
 }
 
-// run forwards until the socket is closed.
+// run forwards until the socket is closed. Packets that arrive before the host
+// knows where they go wait in the socket for a while: a client repeats what is
+// dropped only after 200 ms or more.
 func (t *traffic) run() {
+	select {
+	case <-t.edge.firstReady:
+	case <-time.After(holdAtStart):
+	}
 	settling := false
 	for {
 		t.setWake(settling)
