Test the stateless path: decisions, directory, following the store, adapter, host

Decisions and beliefs by tables, played loads and a property (no packet at another service, loads stay true); the host by stand-ins for store, targets and clients in platform/platformtest, with the store busy, limiting, resetting and talking nonsense. Found by these: pages kept connections of a host that had ended; the servers are closed now with their listeners.

--- /dev/null
+++ b/internal/coordination/steer/engine_test.go
@@ -0,0 +1,276 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+func TestAnEstablishedPacketFollowsItsCookieOnAHostWithoutMemory(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "b"), order(3, "c"))
+	for number := 1; number <= 3; number++ {
+		c := b.caller(feedAddress)
+		c.cookie = order(number, "a").ID.Cookie()
+		verdict := c.request()
+		require.Equal(t, ActionForward, verdict.Action)
+		require.Equal(t, order(number, "a").ID, verdict.Target.ID)
+	}
+}
+
+func TestACookieOfAnotherServiceIsDropped(t *testing.T) {
+	b := newBed(t, order(1, "a"), target(2, "a", proofPool))
+	c := b.caller(feedAddress)
+	c.cookie = target(2, "a", proofPool).ID.Cookie()
+	require.Equal(t, Verdict{Reason: ReasonUnknownCookie}, c.request())
+}
+
+func TestAnUnknownCookieIsDroppedAndNotReset(t *testing.T) {
+	b := newBed(t, order(1, "a"))
+	c := b.caller(feedAddress)
+	c.cookie = 77
+	require.Equal(t, Verdict{Reason: ReasonUnknownCookie}, c.request())
+}
+
+func TestWithoutAConfigurationEverythingIsDropped(t *testing.T) {
+	b := emptyBed(t)
+	require.Equal(t, Verdict{Reason: ReasonNotReady}, b.caller(feedAddress).open())
+	b.publish()
+	require.Equal(t, Verdict{Reason: ReasonNotReady}, b.caller(feedAddress).open())
+}
+
+func TestAnAddressWithoutARouteIsRefusedAtOnce(t *testing.T) {
+	b := newBed(t, order(1, "a"))
+	c := b.caller(noAddress)
+	c.ack = 4242
+	verdict := c.request()
+	require.Equal(t, ActionReset, verdict.Action)
+	require.Equal(t, ReasonNoRoute, verdict.Reason)
+	require.Equal(t, c.client, verdict.Client)
+	require.Equal(t, uint32(4242), verdict.Seq, "a reset has to lie near the client's last acknowledgement")
+	require.Equal(t, ActionDrop, c.send(Packet{Reset: true}).Action, "a reset is never answered by a reset")
+}
+
+func TestAFlowEndsWithItsRouteAndSurvivesOtherChanges(t *testing.T) {
+	b := newBed(t, order(1, "a"), target(2, "a", proofPool))
+	feed, proof := b.establishAt(feedAddress, "t1"), b.establishAt(proofAddress, "t2")
+	b.directory.SetConfig(catalog.Config{Version: 2, Routes: []catalog.Route{
+		{Name: "feed", Address: feedAddress, Pools: []catalog.PoolWeight{{Pool: proofPool, Weight: 1}}, Idempotent: true},
+	}})
+	b.publish()
+	verdict := feed.request()
+	require.Equal(t, ActionForward, verdict.Action)
+	require.Equal(t, "t1", verdict.Target.Name, "the route's new pool takes new flows only")
+	require.Equal(t, ReasonNoRoute, proof.request().Reason)
+	require.Equal(t, "t2", b.caller(feedAddress).open().Target.Name)
+}
+
+func TestALeavingTargetKeepsItsFlowsAndGetsNoNewOne(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	leaving := order(1, "a")
+	leaving.Draining = true
+	b.directory.Put(leaving)
+	b.publish()
+	for range 50 {
+		require.Equal(t, "t2", b.caller(feedAddress).open().Target.Name)
+	}
+	require.Equal(t, "t1", c.request().Target.Name)
+	b.directory.Remove(b.now, "t1")
+	b.publish()
+	require.Equal(t, "t1", c.answered().Target.Name, "its entry is gone, the flow may live on")
+}
+
+func TestAnOpeningWithoutAnswerIsOfferedToAnotherTarget(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.caller(feedAddress)
+	first := c.open()
+	require.Empty(t, b.due(offerLocal-time.Millisecond))
+	verdicts := b.due(time.Millisecond)
+	require.Len(t, verdicts, 1)
+	require.Equal(t, ReasonOfferedAgain, verdicts[0].Reason)
+	require.True(t, verdicts[0].Opening)
+	require.Equal(t, []byte("opening"), verdicts[0].Raw)
+	require.NotEqual(t, first.Target.ID, verdicts[0].Target.ID)
+	c.opened(verdicts[0].Target)
+	require.Empty(t, b.due(time.Second), "an open flow is not offered again")
+}
+
+// The load: openings one after the other while one of three targets is dark.
+func TestAnOpeningIsServedWithin100msOfATargetGoingDark(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"), order(3, "b"))
+	dark := order(1, "a").ID
+	for range 40 {
+		c := b.caller(depositAddress)
+		began := b.now
+		verdict := c.open()
+		for verdict.Target.ID == dark {
+			verdicts := b.due(time.Millisecond)
+			if len(verdicts) > 0 {
+				verdict = verdicts[0]
+			}
+		}
+		b.now += 4 * time.Millisecond
+		c.opened(verdict.Target)
+		require.LessOrEqual(t, b.now-began, 100*time.Millisecond)
+		b.check(func(id catalog.TargetID) bool { return id != dark })
+	}
+}
+
+func TestATargetThatFailedItsCheckGetsNoNewFlowUntilItAnswers(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.caller(feedAddress)
+	first := c.open().Target
+	c.opened(b.due(offerLocal)[0].Target)
+	require.Equal(t, 1, b.check(nobody))
+	require.Equal(t, []Belief{{Target: first.Name, Domain: "a", Dead: true, Missed: 1, Silence: b.now - time.Second}}, b.engine.TakeBeliefs())
+	for range 50 {
+		require.NotEqual(t, first.ID, b.caller(feedAddress).establish().ID)
+	}
+	b.due(checkInterval)
+	checks := b.engine.TakeChecks()
+	require.Len(t, checks, 1)
+	require.Equal(t, first.Name, checks[0].Name, "its address may be another's by now")
+	b.engine.Checked(b.now, checks[0].Target, true)
+	b.establishAt(feedAddress, first.Name)
+}
+
+func TestWorkIsOfferedEvenIfEveryTargetSeemsDead(t *testing.T) {
+	b := newBed(t, order(1, "a"))
+	c := b.caller(feedAddress)
+	c.open()
+	b.due(offerLocal)
+	b.check(nobody)
+	require.Equal(t, ActionForward, b.caller(feedAddress).open().Action)
+}
+
+func TestAPoolWithoutTargetsIsRefusedAtOnce(t *testing.T) {
+	b := newBed(t, order(1, "a"))
+	verdict := b.caller(proofAddress).open()
+	require.Equal(t, ActionReset, verdict.Action)
+	require.Equal(t, ReasonNoTarget, verdict.Reason)
+}
+
+func TestRequestsAtATargetThatIsGoneAreTriedAgainAtOnce(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	waiting, idle := b.establishAt(feedAddress, "t1"), b.establishAt(feedAddress, "t1")
+	unsafe, other := b.establishAt(depositAddress, "t1"), b.establishAt(feedAddress, "t2")
+	unsafeIdle := b.establishAt(depositAddress, "t1")
+	waiting.request()
+	unsafe.request()
+	other.request()
+	b.now += 200 * time.Millisecond
+	require.Equal(t, ActionForward, waiting.again().Action, "one repeat is a hint, no proof")
+	require.Equal(t, 1, b.check(nobody))
+
+	resets := b.due(0)
+	require.Len(t, resets, 1, "the flows at the other target and those not idempotent stay")
+	require.Equal(t, waiting.client, resets[0].Client)
+	require.Equal(t, waiting.ack, resets[0].Seq)
+	require.Equal(t, ActionReset, idle.request().Action, "a new request is not even sent")
+	require.Equal(t, ActionReset, unsafeIdle.request().Action, "nor is one that must run once at most")
+	require.Equal(t, ActionForward, unsafe.again().Action, "one that may have run is never reset")
+	require.Equal(t, ActionForward, other.answered().Action)
+}
+
+func TestNoFlowIsResetWhileItsTargetTakesConnections(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	c.request()
+	for range 8 {
+		b.now += 700 * time.Millisecond
+		require.Equal(t, ActionForward, c.again().Action)
+		b.check(everybody)
+		require.Empty(t, b.due(0))
+	}
+}
+
+func TestOldEvidenceResetsNothing(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	c.request()
+	b.now += 200 * time.Millisecond
+	c.again()
+	b.check(nobody)
+	b.now += evidenceLifetime + time.Millisecond
+	other := b.caller(feedAddress)
+	other.cookie = order(1, "a").ID.Cookie()
+	require.Equal(t, ActionForward, other.request().Action, "the check is too old")
+}
+
+// On huaman-retratos quiet-1 flows of living targets were reset: an answer whose
+// first packet came late made the client acknowledge again what it had, 150 ms
+// after its request.
+func TestAnAcknowledgementRepeatedAtTheStartOfAnAnswerIsAnAnswer(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	c.request()
+	b.now += 150 * time.Millisecond
+	c.acknowledge()
+	require.Zero(t, b.check(nobody))
+	require.Zero(t, b.engine.records.targets[order(1, "a").ID].waiting)
+}
+
+// On huaman-retratos trouble-3 two crashed targets spoke for their whole failure
+// domain, and flows at a third one were reset.
+func TestTwoDeadTargetsDoNotSpeakForTheirDomain(t *testing.T) {
+	b := newBed(t, order(1, "b"), order(2, "b"), order(3, "b"))
+	third := b.establishAt(feedAddress, "t3")
+	for _, name := range []string{"t1", "t2"} {
+		c := b.establishAt(feedAddress, name)
+		c.request()
+		b.now += 200 * time.Millisecond
+		c.again()
+	}
+	b.check(func(id catalog.TargetID) bool { return id == order(3, "b").ID })
+	third.request()
+	b.now += 300 * time.Millisecond
+	require.Equal(t, ActionForward, third.again().Action)
+	require.Equal(t, ActionForward, third.request().Action)
+}
+
+// A cut between failure domains hides all targets of the other side at once.
+func TestADeadTargetBeyondTheDomainHasItsNeighboursChecked(t *testing.T) {
+	b := newBed(t, order(1, "b"), order(2, "b"), order(3, "b"))
+	first := b.establishAt(feedAddress, "t1")
+	second := b.establishAt(feedAddress, "t2")
+	b.establishAt(feedAddress, "t3")
+	first.request()
+	second.request()
+	b.now += 200 * time.Millisecond
+	first.again()
+	require.Equal(t, 1, b.check(nobody))
+	require.Equal(t, 2, b.check(nobody), "the neighbours with flows")
+	require.Len(t, b.due(0), 2, "both requests are tried again after one repeat of one of them")
+}
+
+func TestARestartedTargetHoldsNoFlowOfBefore(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	c.request()
+	again := order(1, "a")
+	again.Born = 2
+	b.directory.Put(again)
+	b.publish()
+	resets := b.due(0)
+	require.Len(t, resets, 1)
+	require.Equal(t, ReasonTargetReborn, resets[0].Reason)
+}
+
+func TestForgottenFlowsLeaveNoLoadBehind(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "b"))
+	for range 50 {
+		b.establishAt(feedAddress, "t1").request()
+		b.caller(depositAddress).open()
+	}
+	b.due(openingLifetime)
+	b.due(time.Minute)
+	b.due(time.Minute)
+	require.Zero(t, b.engine.Flows())
+	require.Empty(t, b.engine.openings)
+	for _, r := range b.engine.records.targets {
+		require.Zero(t, r.offers+r.waiting+r.open, r.name)
+	}
+}
--- /dev/null
+++ b/internal/coordination/steer/place_test.go
@@ -0,0 +1,174 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+func TestFlowsStayInTheirFailureDomainWhileItHasRoom(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"), order(3, "b"))
+	for range 6 {
+		require.Equal(t, state.DomainID("a"), b.caller(feedAddress).establish().Domain)
+	}
+}
+
+func TestAFullFailureDomainSpillsOver(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "b"))
+	places := make(map[string]int)
+	for range 12 {
+		c := b.caller(depositAddress)
+		places[c.establish().Name]++
+		c.request()
+	}
+	require.Greater(t, places["t2"], 3, "requests that wait at the own target speak for the other")
+	require.Greater(t, places["t1"], places["t2"])
+}
+
+func TestAWarmingTargetGetsLess(t *testing.T) {
+	warming := order(2, "a")
+	warming.WarmUp = 2 * time.Second
+	b := newBed(t, order(1, "a"), warming)
+	require.Equal(t, "t1", b.caller(feedAddress).establish().Name)
+	b.now += 3 * time.Second
+	b.establishAt(feedAddress, "t2")
+}
+
+// The load: 300 long flows and a deposit for each third request, at 14 targets of
+// one failure domain.
+func TestLongFlowsAreSpreadEvenly(t *testing.T) {
+	var targets []catalog.Target
+	for number := range 14 {
+		targets = append(targets, order(number, "a"))
+	}
+	b := newBed(t, targets...)
+	counts := make(map[string]int)
+	for range 300 {
+		counts[b.caller(feedAddress).establish().Name]++
+		deposit := b.caller(depositAddress)
+		deposit.establish()
+		deposit.request()
+		b.now += 20 * time.Millisecond
+		deposit.answered()
+		deposit.send(Packet{Seq: deposit.seq, Ack: deposit.ack, Final: true})
+	}
+	for name, count := range counts {
+		require.LessOrEqual(t, float64(count), 1.10*300/14, name)
+	}
+}
+
+func TestPoolsOfARouteGetTheirShares(t *testing.T) {
+	b := emptyBed(t)
+	b.directory.SetConfig(catalog.Config{Version: 1, Routes: []catalog.Route{{
+		Address: feedAddress,
+		Pools:   []catalog.PoolWeight{{Pool: orderPool, Weight: 90}, {Pool: proofPool, Weight: 10}},
+	}}})
+	b.directory.Put(order(1, "a"))
+	b.directory.Put(target(2, "a", proofPool))
+	b.publish()
+	second := 0
+	for range 1000 {
+		if b.caller(feedAddress).open().Target.Pool == proofPool {
+			second++
+		}
+	}
+	require.InDelta(t, 100, second, 40)
+}
+
+// Whatever arrives, no packet goes to a target that its route does not lead to,
+// and the counts of load stay true.
+func TestNoPacketReachesAnotherService(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := newBed(t, order(1, "a"), order(2, "b"), target(3, "a", proofPool), target(4, "b", proofPool))
+		addresses := []netip.AddrPort{feedAddress, depositAddress, proofAddress, noAddress}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			b.now += time.Duration(rapid.IntRange(0, 300).Draw(rt, "ms")) * time.Millisecond
+			p := Packet{
+				Client:  netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), uint16(rapid.IntRange(1, 3).Draw(rt, "port"))),
+				Service: rapid.SampledFrom(addresses).Draw(rt, "service"),
+				Cookie:  order(rapid.IntRange(0, 5).Draw(rt, "cookie"), "a").ID.Cookie(),
+				Seq:     uint32(rapid.IntRange(0, 3).Draw(rt, "seq") * 100),
+				Ack:     uint32(rapid.IntRange(0, 3).Draw(rt, "ack") * 100),
+				Length:  rapid.SampledFrom([]int{0, 100}).Draw(rt, "length"),
+				Opening: rapid.Bool().Draw(rt, "opening"),
+				Final:   rapid.IntRange(0, 9).Draw(rt, "final") == 0,
+				Reset:   rapid.IntRange(0, 9).Draw(rt, "reset") == 0,
+			}
+			verdicts := b.engine.Due(b.now, []Verdict{b.engine.Packet(b.now, &p)})
+			verdicts[0].Service = p.Service
+			b.check(func(catalog.TargetID) bool { return rapid.Bool().Draw(rt, "alive") })
+			requireOwnService(rt, verdicts)
+		}
+		requireCounts(rt, b.engine)
+	})
+}
+
+func requireOwnService(t require.TestingT, verdicts []Verdict) {
+	pools := map[netip.AddrPort]catalog.PoolID{feedAddress: orderPool, depositAddress: orderPool, proofAddress: proofPool}
+	for _, verdict := range verdicts {
+		if verdict.Action == ActionForward {
+			require.Equal(t, pools[verdict.Service], verdict.Target.Pool)
+		}
+	}
+}
+
+func requireCounts(t require.TestingT, e *Engine) {
+	open, waiting, offers := make(map[*record]int), make(map[*record]int), make(map[*record]int)
+	for _, f := range e.flows {
+		if f.opening != nil {
+			for _, r := range f.opening.tried {
+				offers[r]++
+			}
+			continue
+		}
+		open[f.record]++
+		if f.waiting {
+			waiting[f.record]++
+		}
+	}
+	for _, r := range e.records.targets {
+		require.Equal(t, []int{open[r], waiting[r], offers[r]}, []int{r.open, r.waiting, r.offers}, r.name)
+	}
+}
+
+func benchmarkEstablished(b *testing.B, targets int) {
+	var known []catalog.Target
+	for number := range targets {
+		known = append(known, order(number, "a"))
+	}
+	bed := newBed(b, known...)
+	c := bed.caller(feedAddress)
+	c.cookie = order(targets/2, "a").ID.Cookie()
+	p := Packet{Client: c.client, Service: c.service, Cookie: c.cookie, Seq: 1, Ack: 1}
+	route := bed.engine.view.Routes[feedAddress]
+	b.Run("cookie", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if route.Target(p.Cookie) == nil {
+				b.Fatal("no target")
+			}
+		}
+	})
+	b.Run("decision", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			bed.engine.Packet(bed.now, &p)
+		}
+	})
+}
+
+func BenchmarkEstablished150(b *testing.B)   { benchmarkEstablished(b, 150) }
+func BenchmarkEstablished27000(b *testing.B) { benchmarkEstablished(b, 27_000) }
+
+func TestAnEstablishedPacketAllocatesNothing(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	p := Packet{Client: c.client, Service: c.service, Cookie: c.cookie, Seq: c.seq, Ack: c.ack, Length: 100}
+	require.Zero(t, testing.AllocsPerRun(1000, func() { b.engine.Packet(b.now, &p) }))
+}
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,328 @@
+package edge
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/edgesettings"
+	"github.com/guavawharf/guavawharf/platform/platformtest"
+)
+
+// patience bounds every wait of these tests.
+const patience = 10 * time.Second
+
+// Services of these tests, as clients address them.
+var (
+	feed    = netip.MustParseAddrPort("198.18.0.1:8443")
+	removed = netip.MustParseAddrPort("198.18.0.1:9000")
+)
+
+// bed is a platform with one host of the product.
+type bed struct {
+	t       *testing.T
+	ip      netip.Addr
+	store   *platformtest.Store
+	server  *httptest.Server
+	client  *platformtest.Client
+	host    netip.AddrPort
+	ready   netip.AddrPort
+	metrics netip.AddrPort
+	logs    *logBuffer
+	leave   chan struct{}
+	stopped chan struct{}
+}
+
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *logBuffer) contains(part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), part)
+}
+
+// beds counts the beds of this process; each has an IP address of its own, so
+// that tests that run at once share no port.
+var beds atomic.Uint32
+
+// Ports of a bed's host; clients have the first one, too.
+const (
+	packetsPort = 7000
+	readyPort   = 7001
+	metricsPort = 7002
+)
+
+// bedIP returns an address of the loopback network.
+func bedIP(bed uint32, end byte) netip.Addr {
+	const processes = 100
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%processes), byte(bed), end})
+}
+
+// newBed starts a store and a client, no host yet.
+func newBed(t *testing.T) *bed {
+	t.Parallel()
+	number := beds.Add(1)
+	ip := bedIP(number, 1)
+	b := &bed{
+		t: t, ip: ip, store: platformtest.NewStore(), logs: new(logBuffer),
+		host:    netip.AddrPortFrom(ip, packetsPort),
+		ready:   netip.AddrPortFrom(ip, readyPort),
+		metrics: netip.AddrPortFrom(ip, metricsPort),
+	}
+	b.server = httptest.NewServer(b.store)
+	t.Cleanup(b.server.Close)
+	var err error
+	b.client, err = platformtest.NewClient(netip.AddrPortFrom(bedIP(number, 2), packetsPort))
+	require.NoError(t, err)
+	t.Cleanup(b.client.Close)
+	b.configure(1, feed, removed)
+	return b
+}
+
+// configure writes a configuration with routes at these addresses.
+func (b *bed) configure(version int, addresses ...netip.AddrPort) {
+	b.store.PutConfig(version, "taller", addresses...)
+}
+
+// target starts a target with an entry in the store.
+func (b *bed) target(name, zone string) *platformtest.Target {
+	target, err := platformtest.StartTarget(b.ip, name, packetsPort)
+	require.NoError(b.t, err)
+	b.t.Cleanup(target.Stop)
+	b.store.Put("servers", name, target.Entry("taller", zone, "ready"))
+	return target
+}
+
+// start runs the host until the end of the test or stop.
+func (b *bed) start() {
+	host, err := New(edgesettings.Settings{
+		Host: "edge-a-1", Domain: "a", Packets: b.host, Ready: b.ready, Metrics: b.metrics,
+		Store:       netip.MustParseAddrPort(strings.TrimPrefix(b.server.URL, "http://")),
+		ChangeBound: time.Second, DrainBound: time.Second, LeaveDeadline: 3 * time.Second, MaxFlowAge: time.Minute,
+	}, slog.New(slog.NewTextHandler(b.logs, nil)))
+	require.NoError(b.t, err)
+	leave, stopped := make(chan struct{}, 1), make(chan struct{})
+	b.leave, b.stopped = leave, stopped
+	go func() {
+		defer close(stopped)
+		host.Run(leave)
+	}()
+	b.t.Cleanup(b.stop)
+}
+
+// stop ends the host gracefully; a second call does nothing.
+func (b *bed) stop() {
+	select {
+	case b.leave <- struct{}{}:
+	default:
+	}
+	<-b.stopped
+}
+
+func (b *bed) isReady() bool {
+	response, err := http.Get("http://" + b.ready.String() + platformtest.PathReady)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+func (b *bed) waitReady() { b.eventually(b.isReady) }
+
+func (b *bed) eventually(what func() bool) {
+	require.Eventually(b.t, what, patience, 5*time.Millisecond)
+}
+
+// open opens a flow; the client's own copies are left to the caller.
+func (b *bed) open() *platformtest.Flow {
+	flow, err := b.client.Open(b.host, feed, patience)
+	require.NoError(b.t, err)
+	return flow
+}
+
+// request returns the name of the target that answers.
+func (b *bed) request(flow *platformtest.Flow) string {
+	name, err := flow.Request(b.host, patience)
+	require.NoError(b.t, err)
+	return name
+}
+
+func TestAFlowIsServedByOneTargetAlsoAfterTheHostStartsAnew(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	b.target("i-2a00000002", "a")
+	b.start()
+	b.waitReady()
+	flow := b.open()
+	name := b.request(flow)
+	b.stop()
+	b.start()
+	b.waitReady()
+	require.Equal(t, name, b.request(flow), "the cookie alone leads to the target")
+}
+
+func TestTheHostIsNotReadyWithoutTargetsAndWhenItLeaves(t *testing.T) {
+	b := newBed(t)
+	b.start()
+	b.eventually(func() bool { return b.logs.contains("configuration in force") })
+	require.False(t, b.isReady())
+	b.target("i-2a00000001", "a")
+	b.waitReady()
+	flow := b.open()
+	b.leave <- struct{}{}
+	b.eventually(func() bool { return !b.isReady() })
+	require.Equal(t, "i-2a00000001", b.request(flow), "packets are forwarded until the fabric has moved on")
+	<-b.stopped
+}
+
+func TestConfigurationsComeIntoForceAndNeverGoBack(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	b.start()
+	b.waitReady()
+	_, err := b.client.Open(b.host, removed, patience)
+	require.NoError(t, err)
+	b.configure(3, feed)
+	b.eventually(func() bool {
+		_, err := b.client.Open(b.host, removed, patience)
+		return err == platformtest.ErrReset
+	})
+	b.configure(2, feed, removed)
+	b.configure(4, feed)
+	b.eventually(func() bool { return b.logs.contains("config=4") })
+	require.False(t, b.logs.contains("config=2"))
+}
+
+func TestALeavingTargetGetsNoNewFlow(t *testing.T) {
+	b := newBed(t)
+	first := b.target("i-2a00000001", "a")
+	b.start()
+	b.waitReady()
+	flow := b.open()
+	b.target("i-2a00000002", "a")
+	b.store.Put("servers", first.Name, first.Entry("taller", "a", "draining"))
+	b.eventually(func() bool { return b.request(b.open()) == "i-2a00000002" })
+	require.Equal(t, first.Name, b.request(flow))
+}
+
+func TestADeadTargetsOpeningsGoToAnother(t *testing.T) {
+	b := newBed(t)
+	dead := b.target("i-2a00000001", "a")
+	b.target("i-2a00000002", "a")
+	b.start()
+	b.eventually(func() bool { return b.logs.contains("i-2a00000002") && b.isReady() })
+	dead.Stop()
+	for range 20 {
+		require.Equal(t, "i-2a00000002", b.request(b.open()))
+	}
+	require.True(t, b.logs.contains("target does not answer"))
+}
+
+func TestALostHistoryLosesNoChange(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	b.start()
+	b.waitReady()
+	b.target("i-2a00000002", "a")
+	b.store.Delete("servers", "i-2a00000001")
+	b.store.DropHistory()
+	b.eventually(func() bool { return b.request(b.open()) == "i-2a00000002" })
+}
+
+// storeFaults are ways in which the store fails to answer.
+var storeFaults = map[string]platformtest.Fault{
+	"busy": func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	},
+	"many": func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return true
+	},
+	"reset": func(w http.ResponseWriter, _ *http.Request) bool {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+		return true
+	},
+	"nonsense": func(w http.ResponseWriter, _ *http.Request) bool {
+		_, _ = io.WriteString(w, "<html>")
+		return true
+	},
+}
+
+// A host that the store turned away once never called it again: the circuit
+// breaker's state made a metric name that panics (hanbit-gw trouble-1).
+func TestTheHostServesOnAndComesBackWhenTheStoreFails(t *testing.T) {
+	for name, fault := range storeFaults {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.target("i-2a00000001", "a")
+			b.start()
+			b.waitReady()
+			b.store.SetFault(fault)
+			b.eventually(func() bool { return b.logs.contains("store lost") })
+			calls := b.store.Calls()
+			b.eventually(func() bool { return b.store.Calls() > calls+10 })
+			require.Equal(t, "i-2a00000001", b.request(b.open()))
+			b.configure(5, feed)
+			b.store.SetFault(nil)
+			b.eventually(func() bool { return b.logs.contains("store regained") && b.logs.contains("config=5") })
+		})
+	}
+}
+
+func TestBadEntriesAndPacketsAreToldAndChangeNothingElse(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	b.store.Put("servers", "i-2a00000003", map[string]any{"service": 7})
+	b.store.Put("config", "other", "not a configuration")
+	b.start()
+	b.waitReady()
+	b.eventually(func() bool { return b.logs.contains("target entry not read") })
+	conn, err := net.Dial("udp", b.host.String())
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("short"))
+	require.NoError(t, err)
+	b.eventually(func() bool { return b.logs.contains("packet dropped") })
+	require.Equal(t, "i-2a00000001", b.request(b.open()))
+}
+
+func TestCountersAreServedAsText(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	b.start()
+	b.waitReady()
+	b.request(b.open())
+	response, err := http.Get("http://" + b.metrics.String() + pathMetrics)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body), `guava_verdicts_total{reason="placed"} 1`)
+	require.Contains(t, string(body), "guava_platform_attempt_list_total 2")
+}
--- a/internal/edge/pages.go
+++ b/internal/edge/pages.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -18,8 +19,14 @@
 // pages serves whether the host takes traffic, and the counters.
 type pages struct {
 	edge    *Edge
-	ready   net.Listener
-	metrics net.Listener
+	ready   page
+	metrics page
+}
+
+// page is one served address.
+type page struct {
+	listener net.Listener
+	server   *http.Server
 }
 
 func openPages(e *Edge) (*pages, error) {
@@ -32,23 +39,29 @@
 		_ = ready.Close()
 		return nil, oops.Code("metrics_listen").Wrap(err)
 	}
-	return &pages{edge: e, ready: ready, metrics: metrics}, nil
+	p := &pages{edge: e}
+	p.ready = newPage(ready, "GET "+platform.PathReady, p.serveReady)
+	p.metrics = newPage(metrics, "GET "+pathMetrics, p.serveMetrics)
+	return p, nil
+}
+
+func newPage(listener net.Listener, pattern string, handler http.HandlerFunc) page {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pattern, handler)
+	server := &http.Server{Handler: mux, ReadTimeout: pageTimeout, WriteTimeout: pageTimeout}
+	return page{listener: listener, server: server}
 }
 
 // run serves until close.
 func (p *pages) run() {
-	readyMux := http.NewServeMux()
-	readyMux.HandleFunc("GET "+platform.PathReady, p.serveReady)
-	metricsMux := http.NewServeMux()
-	metricsMux.HandleFunc("GET "+pathMetrics, p.serveMetrics)
-	go p.serve(p.metrics, metricsMux)
-	p.serve(p.ready, readyMux)
+	go p.serve(p.metrics)
+	p.serve(p.ready)
 }
 
-func (p *pages) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadTimeout: pageTimeout, WriteTimeout: pageTimeout}
-	if err := server.Serve(listener); err != nil && !isClosed(err) {
-		p.edge.log.Error("page not served", "address", listener.Addr().String(), "error", err.Error())
+func (p *pages) serve(page page) {
+	err := page.server.Serve(page.listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		p.edge.log.Error("page not served", "address", page.listener.Addr().String(), "error", err.Error())
 	}
 }
 
@@ -63,6 +76,9 @@
 }
 
 func (p *pages) close() {
-	_ = p.ready.Close()
-	_ = p.metrics.Close()
+	for _, page := range []page{p.ready, p.metrics} {
+		if err := page.server.Close(); err != nil {
+			p.edge.log.Error("page not closed", "address", page.listener.Addr().String(), "error", err.Error())
+		}
+	}
 }
--- /dev/null
+++ b/internal/protocol/edgesettings/settings_test.go
@@ -0,0 +1,50 @@
+package edgesettings
+
+import (
+	"log/slog"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const valid = `
+[host]
+id = "edge-a-1"
+domain = "a"
+packets = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+metrics = "10.1.0.10:9464"
+[store]
+address = "10.200.1.7:8169"
+`
+
+func TestDefaultsFillTheRest(t *testing.T) {
+	settings, issues := Parse([]byte(valid))
+	require.Empty(t, issues)
+	require.Equal(t, Settings{
+		Host: "edge-a-1", Domain: "a",
+		Packets:     netip.MustParseAddrPort("10.1.0.10:8172"),
+		Ready:       netip.MustParseAddrPort("10.1.0.10:8167"),
+		Metrics:     netip.MustParseAddrPort("10.1.0.10:9464"),
+		Store:       netip.MustParseAddrPort("10.200.1.7:8169"),
+		ChangeBound: 3 * time.Second, DrainBound: 3 * time.Second, LeaveDeadline: 5 * time.Second,
+		MaxFlowAge: time.Minute, LogLevel: slog.LevelInfo, LogRate: 40,
+	}, settings)
+}
+
+func TestEveryWrongKeyIsNamedWithItsLine(t *testing.T) {
+	text := strings.Replace(valid, `"10.1.0.10:8172"`, `"nowhere"`, 1) + "[bounds]\nchange = \"1h\"\nspeed = 1\n"
+	_, issues := Parse([]byte(text))
+	var told []string
+	for _, issue := range issues {
+		told = append(told, issue.String())
+	}
+	require.Len(t, told, 3, "%v", told)
+	for i, part := range []string{"host.packets", "bounds.change", "bounds.speed"} {
+		require.Contains(t, told[i], part)
+		require.Regexp(t, `\d+`, told[i])
+	}
+}
--- /dev/null
+++ b/internal/state/catalog/directory_test.go
@@ -0,0 +1,113 @@
+package catalog
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var feed = netip.MustParseAddrPort("198.18.0.1:8443")
+
+func newTestDirectory() *Directory {
+	d := NewDirectory(Settings{KeepDeparted: time.Minute, LapseGrace: 2 * time.Second})
+	d.SetConfig(config(1, "orders"))
+	return d
+}
+
+func config(version uint64, pool PoolID) Config {
+	return Config{Version: version, Routes: []Route{{Address: feed, Pools: []PoolWeight{{Pool: pool, Weight: 1}}}}}
+}
+
+func entry(name string, id TargetID) Target {
+	return Target{ID: id, Name: name, Pool: "orders", Slots: 1, Born: 1}
+}
+
+func view(d *Directory, now time.Duration) *View {
+	view, _ := d.View(now)
+	return view
+}
+
+func names(pool *Pool) []string {
+	var all []string
+	for _, target := range pool.Offered {
+		all = append(all, target.Name)
+	}
+	return all
+}
+
+func TestAnOlderConfigurationNeverComesBack(t *testing.T) {
+	d := newTestDirectory()
+	require.True(t, d.SetConfig(config(5, "orders")))
+	require.False(t, d.SetConfig(config(4, "orders")))
+	require.False(t, d.SetConfig(config(5, "orders")))
+	require.EqualValues(t, 5, view(d, 0).Version)
+}
+
+func TestAViewIsReadyWithAConfigurationAndATarget(t *testing.T) {
+	require.False(t, (*View)(nil).Ready())
+	d := NewDirectory(Settings{})
+	d.Put(entry("t1", 1))
+	require.False(t, view(d, 0).Ready())
+	d.SetConfig(config(1, "orders"))
+	require.True(t, view(d, 0).Ready())
+	d.Remove(0, "t1")
+	require.False(t, view(d, 0).Ready())
+}
+
+func TestADepartedTargetIsKnownToOpenFlowsOnly(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entry("t1", 0x17))
+	d.Remove(time.Second, "t1")
+	pool := view(d, 2*time.Second).Pools["orders"]
+	require.Empty(t, pool.Offered)
+	require.Equal(t, "t1", pool.Target(0x17).Name)
+	require.Nil(t, view(d, time.Second+time.Minute).Routes[feed].Target(0x17))
+}
+
+func TestEntriesThatLapsedWhileTheStoreWasAwayStayForAWhile(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entry("t1", 1))
+	d.Put(entry("t2", 2))
+	d.StoreAway(10 * time.Second)
+	d.RemoveAllBut(11*time.Second, map[string]bool{"t1": true})
+	current, next := d.View(11 * time.Second)
+	require.Equal(t, []string{"t1", "t2"}, names(current.Pools["orders"]))
+	require.Equal(t, 12*time.Second, next, "when t2 counts as gone")
+	require.Equal(t, []string{"t1"}, names(view(d, next).Pools["orders"]))
+}
+
+func TestAnEntryRemovedWhileTheStoreAnswersIsGoneAtOnce(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entry("t1", 1))
+	d.StoreAway(time.Second)
+	d.Remove(10*time.Second, "t1")
+	require.Empty(t, names(view(d, 10*time.Second).Pools["orders"]))
+}
+
+func TestOfTwoTargetsWithOneCookieTheFirstHasIt(t *testing.T) {
+	d := newTestDirectory()
+	first, second := entry("t1", 0xaa_0000_0001), entry("t2", 0xbb_0000_0001)
+	second.Born = 2
+	d.Put(second)
+	d.Put(first)
+	for range 20 {
+		pool := view(d, 0).Pools["orders"]
+		require.Equal(t, []string{"t1"}, names(pool))
+		require.Equal(t, "t1", pool.Target(1).Name)
+	}
+	d.Remove(0, "t1")
+	require.Empty(t, names(view(d, time.Second).Pools["orders"]), "flows of the first may still be open")
+	require.Equal(t, []string{"t2"}, names(view(d, time.Hour).Pools["orders"]))
+}
+
+func TestARouteRemembersItsFormerPools(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entry("t1", 1))
+	d.SetConfig(config(2, "proofs"))
+	require.Equal(t, "t1", view(d, 0).Routes[feed].Target(1).Name)
+	d.SetConfig(Config{Version: 3})
+	d.SetConfig(config(4, "proofs"))
+	require.Nil(t, view(d, 0).Routes[feed].Target(1), "the route was gone meanwhile, and with it its flows")
+}
--- /dev/null
+++ b/internal/transport/limitlog/limitlog_test.go
@@ -0,0 +1,81 @@
+package limitlog
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newLog returns a log with a budget of 5 lines a second and its clock.
+func newLog(out io.Writer) (*slog.Logger, *time.Time) {
+	now := time.Unix(1000, 0)
+	inner := slog.NewTextHandler(out, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.TimeKey {
+			return slog.Attr{}
+		}
+		return a
+	}})
+	return slog.New(NewHandler(inner, 5, func() time.Time { return now })), &now
+}
+
+func TestEachMessageHasItsOwnBudget(t *testing.T) {
+	var out bytes.Buffer
+	log, _ := newLog(&out)
+	for range 100 {
+		log.Info("placed")
+	}
+	log.Warn("target does not answer")
+	require.Equal(t, 5, strings.Count(out.String(), "msg=placed"))
+	require.Equal(t, 1, strings.Count(out.String(), "target does not answer"), "successes do not displace failures")
+}
+
+func TestDroppedLinesAreTold(t *testing.T) {
+	var out bytes.Buffer
+	log, now := newLog(&out)
+	log = log.With("host", "a1")
+	for range 100 {
+		log.Info("placed")
+	}
+	*now = now.Add(summaryInterval)
+	log.Info("placed")
+	require.Contains(t, out.String(), `level=WARN msg="log lines dropped" host=a1 message=placed lines=95`)
+	*now = now.Add(summaryInterval)
+	log.Info("placed")
+	require.Equal(t, 1, strings.Count(out.String(), "log lines dropped"), "told once")
+}
+
+// A reader that stops reading must not hold up whoever writes.
+func TestAReaderThatStopsReadingBlocksNobody(t *testing.T) {
+	reader, writer := io.Pipe()
+	defer func() { _ = reader.Close() }()
+	lines := NewWriter(writer)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 10 * queuedLines {
+			_, _ = lines.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a write waited for the reader")
+	}
+	require.GreaterOrEqual(t, lines.Dropped(), int64(8*queuedLines))
+}
+
+func TestQueuedLinesAreWrittenAtTheEnd(t *testing.T) {
+	var out bytes.Buffer
+	lines := NewWriter(&out)
+	for range 50 {
+		_, _ = lines.Write([]byte("line\n"))
+	}
+	lines.Close(10 * time.Second)
+	require.Equal(t, 50, strings.Count(out.String(), "line"))
+	require.Zero(t, lines.Dropped())
+}
