Remove the way `contested`

Cause: it was never finished: base versions did not move up, its imbalance was the hash's, and a flow whose target travels in its packets needs neither table versions nor relays.

--- a/internal/coordination/control/carry.go
+++ b/internal/coordination/control/carry.go
@@ -97,8 +97,7 @@
 }
 
 // sweep drops withdrawn targets that nothing refers to any more, and old table
-// versions. Under WayContested a table stays: an open flow that it placed is sent
-// to its owner only while the tables differ.
+// versions.
 func (p *publisher) sweep(now time.Time) {
 	if now.Sub(p.swept) < sweepInterval {
 		return
@@ -106,7 +105,7 @@
 	p.swept = now
 	for id, entry := range p.entries {
 		next := p.sweepTargets(now, entry)
-		if next.IdleTimeout > 0 && next.Way != state.WayContested {
+		if next.IdleTimeout > 0 {
 			next = lookup.DropBase(next, p.history.baseFor(now, next.IdleTimeout+baseMargin))
 		}
 		if next == entry {
--- a/internal/coordination/traffic/engine.go
+++ b/internal/coordination/traffic/engine.go
@@ -83,11 +83,6 @@
 	if entry.Way == state.WayHash {
 		return e.byHash(entry, p)
 	}
-	if entry.Way == state.WayContested && !e.inherited[entry.Number] {
-		if d, ok := e.direct(entry, p); ok {
-			return d
-		}
-	}
 	f := flow{packet: p, routes: e.routes(entry)}
 	f.owners = f.routes.owners(p.Fingerprint)
 	if f.owners.first == nil {
--- a/internal/coordination/traffic/owners.go
+++ b/internal/coordination/traffic/owners.go
@@ -48,8 +48,6 @@
 	// until formerUntil.
 	former      *serviceRoutes
 	formerUntil time.Time
-	// tableSettles is when the newest table is expected on every host.
-	tableSettles time.Time
 }
 
 // targetDomain is a failure domain as a place for new flows.
--- a/internal/coordination/traffic/place.go
+++ b/internal/coordination/traffic/place.go
@@ -36,9 +36,6 @@
 // place chooses the target of a new flow, preferably in its placing domain;
 // nil and the reason when none may have it.
 func (e *Engine) place(f *flow) (*state.TargetEntry, Reason) {
-	if f.routes.entry.Way == state.WayContested {
-		return e.placeByHash(f)
-	}
 	home := f.routes.placeDomain(f.packet.Fingerprint)
 	if target := e.placeIn(f, home); target != nil {
 		return target, ReasonNone
@@ -179,9 +176,6 @@
 // hashTarget returns the target that a table alone gives a flow; nil if the
 // table is empty.
 func (e *Engine) hashTarget(f *flow, table *state.LookupTable) *state.TargetEntry {
-	if f.routes.entry.Way == state.WayContested {
-		return e.snap.Targets[table.Lookup(f.packet.Fingerprint.Low)]
-	}
 	home := f.routes.usualDomain(f.packet.Fingerprint)
 	var any *state.TargetEntry
 	for i := uint64(0); i < maxProbes; i++ {
--- a/internal/coordination/traffic/reason.go
+++ b/internal/coordination/traffic/reason.go
@@ -56,9 +56,6 @@
 	ReasonMoved
 	// ReasonFallback forwards without a record to the base table's target.
 	ReasonFallback
-	// ReasonBase forwards a flow without a record that is older than every
-	// record: to the base table's target, under WayContested.
-	ReasonBase
 	// ReasonNoCopy forwards an opening that only one host could record.
 	ReasonNoCopy
 	// ReasonSilentFlow resets: only retransmissions without progress.
@@ -92,7 +89,6 @@
 	ReasonMoved:           "moved",
 	ReasonSearch:          "search",
 	ReasonFallback:        "fallback",
-	ReasonBase:            "base",
 	ReasonNoCopy:          "no_copy",
 	ReasonSilentFlow:      "silent_flow",
 }
--- a/internal/coordination/traffic/search.go
+++ b/internal/coordination/traffic/search.go
@@ -77,17 +77,13 @@
 }
 
 // search passes a packet on to the next host that may have its flow's record.
-// The last one falls back to the base table. A verdict that is known already,
+// The last one falls back to the tables. A verdict that is known already,
 // with a target that this host does not know, goes along.
 func (e *Engine) search(f *flow) Decision {
 	known := e.knownVerdict(f)
 	if known.verdict == relay.VerdictForward && e.snap.Targets[known.target] != nil {
 		return e.forward(f.routes.entry.Number, known.target, ReasonNone)
 	}
-	inherited := e.inherited[f.routes.entry.Number]
-	if known.verdict == relay.VerdictNone && !inherited && e.belongsToBase(f) {
-		return e.byBase(f)
-	}
 	hops, position := uint8(0), 0
 	if f.packet.Relayed {
 		hops = f.packet.Relay.Hops
--- a/internal/coordination/traffic/snapshot.go
+++ b/internal/coordination/traffic/snapshot.go
@@ -51,10 +51,6 @@
 	if old == nil {
 		return r
 	}
-	r.tableSettles = old.tableSettles
-	if old.entry.Tables[0] != entry.Tables[0] {
-		r.tableSettles = e.now.Add(tableGrace)
-	}
 	r.former = old.former
 	r.formerUntil = old.formerUntil
 	if old.view != e.view || !slices.Equal(old.owning, r.owning) {
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -73,9 +73,8 @@
 }
 
 var wayNames = map[state.Way]string{
-	state.WayOwner:     "owner",
-	state.WayContested: "contested",
-	state.WayHash:      "hash",
+	state.WayOwner: "owner",
+	state.WayHash:  "hash",
 }
 
 // Flows counts the flows by service.
--- a/internal/protocol/note/describe.go
+++ b/internal/protocol/note/describe.go
@@ -42,7 +42,7 @@
 }
 
 func describeServices() []tomldoc.Key {
-	ways := "`owner`, `contested` or `hash`"
+	ways := "`owner` or `hash`"
 	return []tomldoc.Key{
 		{Name: "add.service[].id", Unit: formName, Range: rangeName, Meaning: "Unique name of the service."},
 		{Name: "add.service[].customer", Unit: formName, Range: rangeName, Meaning: "Customer that the service belongs to."},
--- a/internal/protocol/note/note.go
+++ b/internal/protocol/note/note.go
@@ -34,11 +34,10 @@
 
 // Names of the ways and protocols in a note.
 const (
-	WayOwner     = "owner"
-	WayContested = "contested"
-	WayHash      = "hash"
-	ProtocolTCP  = "tcp"
-	ProtocolUDP  = "udp"
+	WayOwner    = "owner"
+	WayHash     = "hash"
+	ProtocolTCP = "tcp"
+	ProtocolUDP = "udp"
 )
 
 // Decode returns the note in a TOML document, or every issue in it.
@@ -124,14 +123,10 @@
 }
 
 func decodeWay(table *tomldoc.Table, fallback string) state.Way {
-	switch table.OneOf("way", fallback, WayOwner, WayContested, WayHash) {
-	case WayContested:
-		return state.WayContested
-	case WayHash:
+	if table.OneOf("way", fallback, WayOwner, WayHash) == WayHash {
 		return state.WayHash
-	default:
-		return state.WayOwner
 	}
+	return state.WayOwner
 }
 
 func decodeTarget(table *tomldoc.Table) state.TargetSpec {
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -110,7 +110,6 @@
 	service := b.services[id]
 	if service != nil && !b.owned[id] {
 		service.Targets = slices.Clone(service.Targets)
-		service.Changes++
 		b.owned[id] = true
 	}
 	return service
--- a/internal/state/apply_items.go
+++ b/internal/state/apply_items.go
@@ -114,24 +114,13 @@
 		return
 	}
 	if change.Way != nil && *change.Way != service.Way {
-		b.changeWay(service, *change.Way)
+		b.report(ProblemWayFixed, "change.service", string(service.ID), "the way cannot be changed; withdraw the service and add another")
 	}
 	if change.IdleTimeout != nil {
 		service.IdleTimeout = *change.IdleTimeout
 	}
 }
 
-// changeWay sets another way, except to or from WayHash: flows without records
-// would lose their target, and flows with records would no longer be looked up.
-func (b *builder) changeWay(service *Service, way Way) {
-	if service.Way == WayHash || way == WayHash {
-		b.report(ProblemWayFixed, "change.service", string(service.ID), "the way \"hash\" cannot be changed; withdraw the service and add another")
-		return
-	}
-	service.Way = way
-	service.Changes++
-}
-
 func (b *builder) forgetTarget(id TargetID) {
 	place := b.targets[id]
 	delete(b.taken, place.address)
--- a/internal/state/lookup/carry.go
+++ b/internal/state/lookup/carry.go
@@ -26,15 +26,13 @@
 		return previous
 	}
 	next := &state.ServiceEntry{
-		Service:   service,
-		Tables:    previous.Tables,
-		Truncated: previous.Truncated || missed(previous.Service, service),
-		Entries:   carryTargets(previous.Entries, service),
-		Domains:   domainWeights(service.Targets),
+		Service: service,
+		Tables:  previous.Tables,
+		Entries: carryTargets(previous.Entries, service),
+		Domains: domainWeights(service.Targets),
 	}
 	if !sameTable(previous.Targets, service.Targets) {
 		next.Tables = pushTable(previous.Tables, buildVersion(service, version))
-		next.Truncated = next.Truncated || len(previous.Tables) == MaxTables
 	}
 	return next
 }
@@ -46,34 +44,24 @@
 	for keep > 1 && entry.Tables[keep-2].Version <= base {
 		keep--
 	}
-	if keep == len(entry.Tables) && !entry.Truncated {
+	if keep == len(entry.Tables) {
 		return entry
 	}
 	next := *entry
 	next.Tables = slices.Clone(entry.Tables[:keep])
-	next.Truncated = false
 	return &next
 }
 
-// newEntry makes the entry of a service that had none here. Tables of a service
-// that has changed before are missing.
+// newEntry makes the entry of a service that had none here.
 func newEntry(service state.Service, version state.ReleaseVersion) *state.ServiceEntry {
 	return &state.ServiceEntry{
-		Service:   service,
-		Tables:    []*state.LookupTable{buildVersion(service, version)},
-		Truncated: service.Changes > 0,
-		Entries:   carryTargets(nil, service),
-		Domains:   domainWeights(service.Targets),
+		Service: service,
+		Tables:  []*state.LookupTable{buildVersion(service, version)},
+		Entries: carryTargets(nil, service),
+		Domains: domainWeights(service.Targets),
 	}
 }
 
-// missed reports whether open flows may have been placed by no table that this
-// host has: it skipped a change, or they were placed off their hash under
-// another way.
-func missed(previous, service state.Service) bool {
-	return service.Changes > previous.Changes+1 || service.Way != previous.Way
-}
-
 // buildVersion builds the table of a service and stamps the version.
 func buildVersion(service state.Service, version state.ReleaseVersion) *state.LookupTable {
 	table := Build(service.Targets)
@@ -92,7 +80,7 @@
 	targets := slices.Equal(a.Targets, b.Targets) && slices.Equal(a.Retired, b.Retired)
 	return targets && a.ID == b.ID && a.Number == b.Number && a.Customer == b.Customer &&
 		a.Protocol == b.Protocol && a.Address == b.Address &&
-		a.Way == b.Way && a.IdleTimeout == b.IdleTimeout && a.Changes == b.Changes
+		a.Way == b.Way && a.IdleTimeout == b.IdleTimeout
 }
 
 // sameTable reports whether two target lists, sorted by ID, give one table.
--- a/internal/state/release.go
+++ b/internal/state/release.go
@@ -21,8 +21,6 @@
 const (
 	// WayOwner relays every packet to the flow's owner, which keeps a record.
 	WayOwner Way = iota
-	// WayContested relays openings and packets of contested slots to the owner.
-	WayContested
 	// WayHash uses the newest lookup table alone and keeps no records.
 	WayHash
 )
@@ -67,9 +65,6 @@
 	// Retired are the targets withdrawn last, oldest first, at most MaxRetired.
 	// They get no new flows; every host can still forward flows opened there.
 	Retired []Target
-	// Changes counts the notes that changed the targets or the way after the
-	// service was added. Flows may be open that older tables placed unless it is 0.
-	Changes uint32
 }
 
 // MaxRetired bounds Service.Retired.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -64,9 +64,6 @@
 	// Tables holds the retained table versions, newest first; the last is the
 	// base version.
 	Tables []*LookupTable
-	// Truncated is true when open flows may need a table version that this host
-	// dropped or never had; WayContested then treats every slot as contested.
-	Truncated bool
 	// Entries are the service's targets, withdrawn ones with open flows included.
 	Entries []*TargetEntry
 	// Domains holds the target weights by failure domain, sorted by Domain.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,7 +12,7 @@
 # load on: it prints what the entry hosts use before and after the time.
 #
 # DEMO_NET sets the first two bytes of the loopback addresses, DEMO_SEED the seed
-# of the load. DEMO_WAY sets the way of all services: owner, contested or hash;
+# of the load. DEMO_WAY sets the way of all services: owner or hash;
 # hash keeps no records, so that the second note breaks flows and the demo fails.
 set -euo pipefail
 cd "$(dirname "$0")/.."
