--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,6 +110,15 @@
 // now is the time since the start of the process.
 func (e *Edge) now() time.Duration { return time.Since(e.start) }
 
+// configVersion returns the version in force, 0 for none.
+func (e *Edge) configVersion() uint64 {
+	view := e.view.Load()
+	if view == nil {
+		return 0
+	}
+	return view.Version
+}
+
 // ready tells whether the fabric should send packets here.
 func (e *Edge) ready() bool { return !e.leaving.Load() && e.view.Load().Ready() }
 
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net/netip"
+	"strconv"
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
 
 // measures are the counters of the process.
@@ -62,14 +64,16 @@
 	e.log.Warn("packet dropped", "from", from.String(), "size", size, "reason", reason)
 }
 
-// logVerdict logs a decision about a flow other than to forward it as before.
-func (e *Edge) logVerdict(v steer.Verdict, client, service netip.AddrPort) {
+// logVerdict logs a decision about a flow other than to forward it as before. The
+// cookie is that of the packet which asked for it, as hexadecimal digits.
+func (e *Edge) logVerdict(v steer.Verdict, client, service netip.AddrPort, cookie catalog.Cookie) {
 	target := ""
 	if v.Target != nil {
 		target = v.Target.Name
 	}
 	e.log.Info("flow "+string(v.Reason), "client", client.String(), "service", service.String(),
-		"target", target, "reset", v.Action == steer.ActionReset)
+		"target", target, "reset", v.Action == steer.ActionReset,
+		"cookie", strconv.FormatUint(uint64(cookie), 16), "config", e.configVersion())
 }
 
 // logBelief logs a change of what the host believes about a target.
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -150,7 +150,7 @@
 	t.edge.metrics.verdict(verdict)
 	t.carryOut(verdict, d.Slot.buf[:platform.LabelSize+d.Size])
 	if verdict.Reason != steer.ReasonEstablished {
-		t.edge.logVerdict(verdict, packet.Client, packet.Service)
+		t.edge.logVerdict(verdict, packet.Client, packet.Service, packet.Cookie)
 	}
 	return false
 }
@@ -193,7 +193,7 @@
 	for _, verdict := range t.verdicts {
 		t.edge.metrics.verdict(verdict)
 		t.carryOut(verdict, nil)
-		t.edge.logVerdict(verdict, verdict.Client, verdict.Service)
+		t.edge.logVerdict(verdict, verdict.Client, verdict.Service, 0)
 	}
 }
 
