Have apply come back when the platform refuses a call

Ruled out: repeating every call (other verbs keep their timeout). Change: within its wait, apply repeats calls that were refused with a time to come back; such a call has not run.

The test fails without the change (exit code 3 for 5 refused calls), passes with it; with 1,000 refused calls apply ends at its wait.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -96,6 +96,24 @@
 	}
 }
 
+// Beside load, apply ended with exit code 3 at once although it had been told to
+// come back after 100 ms and had 30 s to wait.
+func TestApplyComesBackWhenThePlatformRefusesACall(t *testing.T) {
+	for _, c := range []struct{ refusing, code int }{{5, ExitInForce}, {1000, ExitUnknown}} {
+		file := noteFile(t, firstNote)
+		synctest.Test(t, func(t *testing.T) {
+			platform := newFakePlatform()
+			platform.refusing = c.refusing
+			platform.due = time.Now().Add(time.Second)
+			platform.event = func() { accept(t, platform) }
+			began := time.Now()
+			code, _, _ := run(t, platform, Options{Verb: VerbApply, File: file, Wait: 3 * time.Second})
+			require.Equal(t, c.code, code)
+			require.LessOrEqual(t, time.Since(began), 3*time.Second+100*time.Millisecond)
+		})
+	}
+}
+
 func TestApplyAfterLostAnswersHandsInOnce(t *testing.T) {
 	for losing := range 3 {
 		platform := newFakePlatform()
--- a/internal/ctl/notes.go
+++ b/internal/ctl/notes.go
@@ -56,7 +56,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.options.Wait)
 	defer cancel()
-	err := c.store.HandIn(ctx, decoded, c.now())
+	store := NewStore(patient{c.store.platform})
+	err := store.HandIn(ctx, decoded, c.now())
 	if isRefusal(err) {
 		fmt.Fprintln(c.errors, "guavactl: "+err.Error())
 		return ExitRefused
@@ -64,7 +65,7 @@
 	if err != nil {
 		return c.unknown(err)
 	}
-	status, err := c.store.Wait(ctx, decoded.ID)
+	status, err := store.Wait(ctx, decoded.ID)
 	if err != nil {
 		fmt.Fprintln(c.errors, "guavactl: "+err.Error())
 	}
--- a/internal/ctl/platform_test.go
+++ b/internal/ctl/platform_test.go
@@ -16,6 +16,8 @@
 	keys   []string
 	losing int
 	down   bool
+	// refusing is the number of calls to refuse before any is run.
+	refusing int
 	// beforePut runs ahead of each write, as another operator would.
 	beforePut func(call objects.Call)
 	// event runs ahead of the first call from due on.
@@ -28,6 +30,10 @@
 }
 
 func (f *fakePlatform) Do(_ context.Context, call objects.Call) objects.Outcome {
+	if f.refusing > 0 {
+		f.refusing--
+		return objects.Outcome{Result: objects.ResultRefused, RetryAfter: 100 * time.Millisecond}
+	}
 	if event := f.event; event != nil && !time.Now().Before(f.due) {
 		f.event = nil
 		event()
