--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -58,7 +58,7 @@
 	r.warmUntil = now + target.WarmUp
 	for _, f := range e.flows {
 		if f.record == r && f.waiting && f.idempotent {
-			e.reset(f, ReasonTargetReborn)
+			e.reset(now, f, ReasonTargetReborn)
 		}
 	}
 }
@@ -71,19 +71,20 @@
 	}
 	for _, f := range e.flows {
 		if f.record == r && f.hopeless(now) {
-			e.reset(f, ReasonTargetSilent)
+			e.reset(now, f, ReasonTargetSilent)
 		}
 	}
 }
 
 // reset ends a flow at the next Due.
-func (e *Engine) reset(f *flow, reason Reason) {
+func (e *Engine) reset(now time.Duration, f *flow, reason Reason) {
 	e.resets = append(e.resets, Verdict{
 		Action:  ActionReset,
 		Reason:  reason,
 		Client:  f.key.Caller,
 		Service: f.key.Service,
 		Seq:     f.ack,
+		Basis:   f.record.basis(now),
 	})
 	e.forget(f.key)
 }
@@ -122,7 +123,9 @@
 		return Verdict{Reason: ReasonUnknownCookie}
 	}
 	if goesOn := e.observe(now, route, target, p); !goesOn {
-		return resetOf(p, ReasonTargetSilent)
+		verdict := resetOf(p, ReasonTargetSilent)
+		verdict.Basis = e.records.of(target, now).basis(now)
+		return verdict
 	}
 	return Verdict{Action: ActionForward, Reason: ReasonEstablished, Target: target, Raw: p.Raw}
 }
--- a/internal/coordination/steer/opening.go
+++ b/internal/coordination/steer/opening.go
@@ -70,6 +70,7 @@
 		Client:  f.key.Caller,
 		Service: f.key.Service,
 		Raw:     o.raw[:o.size],
+		Basis:   Basis{Target: r.name, Age: now - r.lastAnswer, Waiting: r.waiting, Open: r.open},
 	}
 }
 
--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -46,6 +46,11 @@
 	return r.dead && now-r.confirmed <= evidenceLifetime
 }
 
+// basis is what a reset of a flow at the target rests on.
+func (r *record) basis(now time.Duration) Basis {
+	return Basis{Target: r.name, Age: now - r.confirmed, Waiting: r.waiting, Open: r.open}
+}
+
 // barred tells that the target is to get no new flow now.
 func (r *record) barred() bool { return r.dead || r.checking && r.missed > 0 }
 
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -79,6 +79,20 @@
 	Seq     uint32
 	// Raw is the packet to send for ActionForward.
 	Raw []byte
+	// Basis tells what decided about an opening or a reset.
+	Basis Basis
+}
+
+// Basis is what a decision rests on, for logs.
+type Basis struct {
+	// Target is the name of the target that was decided about.
+	Target string
+	// Age is how old the evidence is: the target's last answer where an opening
+	// is offered, its last failed check where a flow is reset.
+	Age time.Duration
+	// Waiting and Open are the target's requests and flows as this host sees them.
+	Waiting int
+	Open    int
 }
 
 // Belief is a change of what the host believes about a target.
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -67,12 +67,9 @@
 // logVerdict logs a decision about a flow other than to forward it as before. The
 // cookie is that of the packet which asked for it, as hexadecimal digits.
 func (e *Edge) logVerdict(v steer.Verdict, client, service netip.AddrPort, cookie catalog.Cookie) {
-	target := ""
-	if v.Target != nil {
-		target = v.Target.Name
-	}
 	e.log.Info("flow "+string(v.Reason), "client", client.String(), "service", service.String(),
-		"target", target, "reset", v.Action == steer.ActionReset,
+		"target", v.Basis.Target, "reset", v.Action == steer.ActionReset,
+		"age", v.Basis.Age.String(), "waiting", v.Basis.Waiting, "open", v.Basis.Open,
 		"cookie", strconv.FormatUint(uint64(cookie), 16), "config", e.configVersion())
 }
 
