Take no timeout of a host that is held up for a target's silence

Ruled out: loss (two attempts), the target (no disruption there). Change: an attempt that ends 10 ms or more after its timeout proves nothing; up to four attempts. The read deadline is set only when it changes, the dead are counted instead of searched.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -52,7 +52,7 @@
 func (e *Engine) restarted(now time.Duration, r *record, target *catalog.Target) {
 	r.born = target.Born
 	r.address = target.Address
-	r.dead = false
+	e.records.revive(r)
 	r.missed = 0
 	r.lastAnswer = now
 	r.warmUntil = now + target.WarmUp
--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -94,6 +94,8 @@
 	// checks are the checks to start, beliefs the changes since both were taken.
 	checks  []Check
 	beliefs []Belief
+	// dead is the number of targets that failed their check.
+	dead int
 }
 
 func newRecords(own state.DomainID) records {
@@ -156,7 +158,7 @@
 	if alive {
 		rs.answered(now, r)
 		if r.dead {
-			r.dead = false
+			rs.revive(r)
 			rs.beliefs = append(rs.beliefs, Belief{Target: r.name, Domain: r.domain, Silence: quiet})
 		}
 		return false
@@ -166,11 +168,20 @@
 		return false
 	}
 	r.dead = true
+	rs.dead++
 	rs.beliefs = append(rs.beliefs, Belief{Target: r.name, Domain: r.domain, Dead: true, Missed: r.missed, Silence: quiet})
 	rs.checkNeighbours(now, r)
 	return true
 }
 
+// revive ends the belief that a target is dead.
+func (rs *records) revive(r *record) {
+	if r.dead {
+		r.dead = false
+		rs.dead--
+	}
+}
+
 // checkNeighbours has the other targets of a remote failure domain checked: a
 // cut between the domains hides all of them at once.
 func (rs *records) checkNeighbours(now time.Duration, r *record) {
@@ -186,6 +197,9 @@
 
 // nextCheck returns when a target that failed its check is to be checked again.
 func (rs *records) nextCheck() (at time.Duration, ok bool) {
+	if rs.dead == 0 {
+		return 0, false
+	}
 	for _, r := range rs.targets {
 		if r.dead && !r.checking && (!ok || r.nextCheck < at) {
 			at, ok = r.nextCheck, true
@@ -207,6 +221,7 @@
 func (rs *records) keep(offered func(catalog.TargetID) bool) {
 	for id, r := range rs.targets {
 		if r.open+r.offers+r.waiting == 0 && !r.checking && !offered(id) {
+			rs.revive(r)
 			delete(rs.targets, id)
 		}
 	}
--- a/internal/edge/checker.go
+++ b/internal/edge/checker.go
@@ -23,13 +23,16 @@
 	// checkTimeout bounds one attempt to connect: several round trips between
 	// failure domains.
 	checkTimeout = 60 * time.Millisecond
-	// checkAttempts must all fail: the first packet of a connection may be lost.
-	checkAttempts = 2
+	// failuresNeeded attempts must fail: the first packet of a connection may be
+	// lost.
+	failuresNeeded = 2
+	// maxAttempts bounds the attempts of one check.
+	maxAttempts = 4
 	// maxChecks bounds the checks at a time.
 	maxChecks = 32
-	// lateFactor tells a target that does not answer from a host that was held up:
-	// an attempt that took longer than this many timeouts proves nothing.
-	lateFactor = 2
+	// lateMargin tells a target that does not answer from a host that was held up:
+	// an attempt that ended later than this after its timeout proves nothing.
+	lateMargin = 10 * time.Millisecond
 )
 
 // checkResult is the outcome of a check.
@@ -59,7 +62,7 @@
 func (c *checker) start(check steer.Check) bool {
 	c.edge.metrics.checks.Inc()
 	err := c.pool.Submit(func() {
-		c.results <- checkResult{target: check.Target, alive: connects(check)}
+		c.results <- checkResult{target: check.Target, alive: connects(check, attempt)}
 		c.wake()
 	})
 	if err != nil {
@@ -76,22 +79,26 @@
 }
 
 // connects tells whether the target answers, or can't be shown not to.
-func connects(check steer.Check) bool {
-	for range checkAttempts {
+func connects(check steer.Check, attempt func(steer.Check) (bool, error)) bool {
+	failures := 0
+	for range maxAttempts {
 		began := time.Now()
 		alive, err := attempt(check)
-		late := time.Since(began) > lateFactor*checkTimeout
 		if err == nil {
 			return alive
 		}
-		if late {
-			return true
-		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return false
 		}
+		if time.Since(began) > checkTimeout+lateMargin {
+			continue
+		}
+		failures++
+		if failures == failuresNeeded {
+			return false
+		}
 	}
-	return false
+	return true
 }
 
 // attempt opens a connection and asks for the target's name if it matters. An
--- /dev/null
+++ b/internal/edge/checker_test.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+)
+
+// attempts plays attempts that each take a time and end with an error, or with
+// an answer for nil.
+func attempts(took time.Duration, results ...error) func(steer.Check) (bool, error) {
+	return func(steer.Check) (bool, error) {
+		time.Sleep(took)
+		err := results[0]
+		if len(results) > 1 {
+			results = results[1:]
+		}
+		return err == nil, err
+	}
+}
+
+// A host that got no processor time took its own timeouts for a target's silence
+// and reset a flow at it (hanbit-gw trouble-2, with a loop that never slept).
+func TestAHostThatIsHeldUpProvesNothing(t *testing.T) {
+	timeout := context.DeadlineExceeded
+	for name, c := range map[string]struct {
+		attempt func(steer.Check) (bool, error)
+		alive   bool
+	}{
+		"answers":              {attempts(time.Millisecond, nil), true},
+		"refuses":              {attempts(time.Millisecond, syscall.ECONNREFUSED), false},
+		"silent":               {attempts(checkTimeout, timeout), false},
+		"one packet lost":      {attempts(checkTimeout, timeout, nil), true},
+		"host held up":         {attempts(checkTimeout+lateMargin+time.Millisecond, timeout), true},
+		"no route, told early": {attempts(time.Millisecond, errors.New("no route to host")), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				require.Equal(t, c.alive, connects(steer.Check{}, c.attempt))
+			})
+		})
+	}
+}
+
+func TestAnotherTargetAtTheAddressIsNotTheOneAskedFor(t *testing.T) {
+	b := newBed(t)
+	target := b.target("i-2a00000001", "a")
+	check := steer.Check{Address: target.Address, HealthPath: "/health"}
+	for name, alive := range map[string]bool{"": true, target.Name: true, "i-2a00000009": false} {
+		check.Name = name
+		got, err := attempt(check)
+		require.NoError(t, err)
+		require.Equal(t, alive, got, name)
+	}
+}
+
+func TestABusyTargetThatConnectsCountsAsAlive(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	alive, err := attempt(steer.Check{Address: address, Name: "i-1", HealthPath: "/health"})
+	require.NoError(t, err)
+	require.True(t, alive)
+}
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -47,6 +47,8 @@
 	checker  *checker
 	verdicts []steer.Verdict
 	now      time.Duration
+	// wake is the read deadline that was set last.
+	wake time.Duration
 }
 
 func newTraffic(e *Edge, socket *udp.Socket, engine *steer.Engine) (*traffic, error) {
@@ -81,6 +83,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
+			t.wake = 0
 			if at, ok := t.engine.NextDue(); ok && at <= t.now && !settling {
 				settling = true
 				continue
@@ -106,6 +109,11 @@
 	if settling {
 		wake = now + settleTime
 	}
+	if wake >= t.wake && t.wake > now && len(t.checker.results) == 0 {
+		// The deadline set before ends the read early enough.
+		return
+	}
+	t.wake = wake
 	if err := t.socket.StopReading(t.edge.start.Add(wake)); err != nil && !isClosed(err) {
 		t.edge.log.Error("read deadline not set", "error", err.Error())
 	}
