Read the first list of targets from old data

Change: a starting host's list may be stale, which does not count towards the rate; a current poll follows at once. Later lists stay current, and the configuration is always read as it is.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -15,6 +15,9 @@
 type Settings struct {
 	// Kind is the kind of objects to follow.
 	Kind string
+	// StaleStart allows the first list to be answered from old data, which costs
+	// the store less. The poll that follows at once brings what the list lacks.
+	StaleStart bool
 	// Interval is the time from the answer of a poll to the next poll.
 	Interval time.Duration
 	// RetryMin and RetryMax bound the time to the next call after a failure.
@@ -77,7 +80,9 @@
 		f.seen = make(map[string]bool)
 		f.from = ""
 	}
-	return objects.Call{Verb: objects.VerbList, Key: f.settings.Kind, From: f.from}
+	// A later list must not go back behind what is known already.
+	stale := f.settings.StaleStart && !f.listed
+	return objects.Call{Verb: objects.VerbList, Key: f.settings.Kind, From: f.from, Stale: stale}
 }
 
 // Change is what a call brought.
@@ -118,8 +123,8 @@
 	for _, object := range page.Objects {
 		f.seen[object.Key] = true
 	}
-	if f.from == "" {
-		// Changes made while later pages are read come by the next poll.
+	if f.from == "" || page.Revision < f.revision {
+		// Changes made since the oldest page come by the next poll.
 		f.revision = page.Revision
 	}
 	f.due = now
@@ -129,8 +134,10 @@
 	}
 	change.Listed = f.seen
 	f.seen = nil
+	if f.listed || !f.settings.StaleStart {
+		f.due = now + f.settings.Interval
+	}
 	f.listed = true
-	f.due = now + f.settings.Interval
 	return change
 }
 
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -85,6 +85,26 @@
 	require.Equal(t, "targets/t1", next(t, f, time.Second).From)
 }
 
+// A stale list may be older than the store's history; the poll that follows then
+// finds it gone. Later lists must not go back behind what is known.
+func TestOnlyTheFirstListMayBeStaleAndAPollFollowsIt(t *testing.T) {
+	settings := testSettings
+	settings.StaleStart = true
+	f := New(settings, half)
+	call := next(t, f, 0)
+	require.True(t, call.Stale)
+	f.Answer(0, call, page(9, true, "t1"))
+	f.Answer(0, next(t, f, 0), page(7, false, "t2"))
+	call = next(t, f, 0)
+	require.Equal(t, objects.Call{Verb: objects.VerbWatch, Key: "targets", After: 7}, call, "from the oldest page on, at once")
+	f.Answer(0, call, objects.Outcome{Result: objects.ResultExpired})
+	call = next(t, f, 0)
+	require.Equal(t, objects.Call{Verb: objects.VerbList, Key: "targets"}, call)
+	f.Answer(0, call, page(12, false, "t1", "t2"))
+	_, due := f.Next(0)
+	require.False(t, due)
+}
+
 // A change is known within the bound when a poll has just missed it, the next
 // one times out and the one after it is answered.
 func TestAChangeIsKnownWithinItsBound(t *testing.T) {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -93,8 +93,10 @@
 			LapseGrace:   lapseGrace,
 		}),
 	}
-	c.follow(platform.KindConfig, e.settings.ChangeBound, c.applyConfig)
-	c.follow(platform.KindTargets, e.settings.DrainBound, c.applyTargets)
+	// The configuration is read as it is now before anything is served by it. Of
+	// targets there are many: old lists spare the store when all hosts start.
+	c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, c.applyConfig)
+	c.follow(follow.Settings{Kind: platform.KindTargets, StaleStart: true}, e.settings.DrainBound, c.applyTargets)
 	return c, nil
 }
 
@@ -117,16 +119,15 @@
 
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
 
-func (c *control) follow(kind string, bound time.Duration, apply func(time.Duration, follow.Change) bool) {
+// follow adds a follower whose changes have to be known within a bound.
+func (c *control) follow(settings follow.Settings, bound time.Duration, apply func(time.Duration, follow.Change) bool) {
+	settings.Interval = share(bound, intervalShare)
+	settings.RetryMin = retryMin
+	settings.RetryMax = retryMax
 	c.followers = append(c.followers, &followed{
-		kind:  kind,
-		apply: apply,
-		follower: follow.New(follow.Settings{
-			Kind:     kind,
-			Interval: share(bound, intervalShare),
-			RetryMin: retryMin,
-			RetryMax: retryMax,
-		}, rand.Float64),
+		kind:     settings.Kind,
+		apply:    apply,
+		follower: follow.New(settings, rand.Float64),
 	})
 }
 
