--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -24,6 +24,9 @@
 	exitSettings = 2
 )
 
+// reloadInterval is the time between two looks for changed settings.
+const reloadInterval = 5 * time.Second
+
 // logFlushLimit bounds the time that the last log lines get at the end.
 const logFlushLimit = 200 * time.Millisecond
 
@@ -53,7 +56,7 @@
 		log.Error("start failed", "error", err.Error())
 		return exitFailed
 	}
-	go reloadOnSignal(options.config, checked, level, log)
+	go reload(options.config, checked, level, log)
 	host.Run(leaveOnSignal())
 	log.Info("stopped")
 	return exitOK
@@ -73,12 +76,23 @@
 	return checked, len(issues) == 0
 }
 
-// reloadOnSignal reads the settings again at each SIGHUP. The log level takes
-// effect at once; other changes are named and need a restart.
-func reloadOnSignal(path string, running edgesettings.Settings, level *slog.LevelVar, log *slog.Logger) {
+// reload reads the settings again at each SIGHUP, and when the file has changed
+// without one. The log level takes effect at once; other changes are named and
+// need a restart.
+func reload(path string, running edgesettings.Settings, level *slog.LevelVar, log *slog.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	for range hangups {
+	ticker := time.NewTicker(reloadInterval)
+	known := changedAt(path)
+	for {
+		select {
+		case <-hangups:
+		case <-ticker.C:
+			if changedAt(path).Equal(known) {
+				continue
+			}
+		}
+		known = changedAt(path)
 		changed, ok := readSettings(path)
 		if !ok {
 			log.Error("reload refused, settings are not valid", "settings", path)
@@ -90,6 +104,16 @@
 	}
 }
 
+// changedAt returns when the file was written last, zero if that can't be told:
+// reading it then says why.
+func changedAt(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // leaveOnSignal sends a value at the first SIGTERM or SIGINT.
 func leaveOnSignal() <-chan struct{} {
 	signals := make(chan os.Signal, 1)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -184,6 +184,19 @@
 	require.Equal(t, name, b.request(flow), "the cookie alone leads to the target")
 }
 
+// The client sends its opening once, while the host still waits for the store.
+func TestPacketsWaitUntilTheHostIsReady(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	b.store.SetFault(func(http.ResponseWriter, *http.Request) bool {
+		time.Sleep(holdAtStart / 8)
+		return false
+	})
+	b.start()
+	require.Equal(t, "i-2a00000001", b.request(b.open()))
+	require.False(t, b.logs.contains("not_ready"))
+}
+
 func TestTheHostIsNotReadyWithoutTargetsAndWhenItLeaves(t *testing.T) {
 	b := newBed(t)
 	b.start()
--- /dev/null
+++ b/internal/protocol/edgesettings/describe.go
@@ -0,0 +1,60 @@
+package edgesettings
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/tomldoc"
+)
+
+// Defaults.
+const (
+	DefaultChangeBound   = 3 * time.Second
+	DefaultDrainBound    = 3 * time.Second
+	DefaultLeaveDeadline = 5 * time.Second
+	DefaultMaxFlowAge    = time.Minute
+	DefaultLogLevel      = "info"
+	DefaultLogRate       = 40
+)
+
+// Ranges, both ends included.
+const (
+	minChangeBound   = 100 * time.Millisecond
+	maxChangeBound   = time.Minute
+	minLeaveDeadline = 100 * time.Millisecond
+	maxLeaveDeadline = 10 * time.Minute
+	minMaxFlowAge    = time.Second
+	maxMaxFlowAge    = 24 * time.Hour
+	minLogRate       = 1
+	maxLogRate       = 10_000
+)
+
+// logLevels are the allowed levels, lowest first.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Forms of values.
+const (
+	formName     = "name"
+	formAddress  = "IP:port"
+	formDuration = "duration"
+
+	rangeAddress = "a numeric IP address with a port from 1 to 65535"
+)
+
+// Describe returns every key in the order of the documentation.
+func Describe() []tomldoc.Key {
+	return []tomldoc.Key{
+		{Name: "host.id", Unit: formName, Range: tomldoc.NameRange, Meaning: "Unique name of this host."},
+		{Name: "host.domain", Unit: formName, Range: tomldoc.NameRange, Meaning: "Failure domain of this host."},
+		{Name: "host.packets", Unit: formAddress, Range: rangeAddress, Meaning: "Where clients' packets arrive (UDP). Packets to clients go to the same port number at their address."},
+		{Name: "host.ready", Unit: formAddress, Range: rangeAddress, Meaning: "Where the fabric asks over HTTP whether this host takes traffic."},
+		{Name: "host.metrics", Unit: formAddress, Range: rangeAddress, Meaning: "Where the counters are served over HTTP, at `/metrics`."},
+		{Name: "store.address", Unit: formAddress, Range: rangeAddress, Meaning: "The platform's object store."},
+		{Name: "bounds.change", Unit: formDuration, Default: DefaultChangeBound.String(), Range: tomldoc.Span(minChangeBound, maxChangeBound), Meaning: "Time within which a new configuration has to take effect; the configuration is polled at 0.65 of it."},
+		{Name: "bounds.drain", Unit: formDuration, Default: DefaultDrainBound.String(), Range: tomldoc.Span(minChangeBound, maxChangeBound), Meaning: "Time within which a leaving target gets no new flow; targets are polled at 0.65 of it."},
+		{Name: "bounds.leave", Unit: formDuration, Default: DefaultLeaveDeadline.String(), Range: tomldoc.Span(minLeaveDeadline, maxLeaveDeadline), Meaning: "Longest time that a graceful shutdown may take."},
+		{Name: "bounds.max_flow_age", Unit: formDuration, Default: DefaultMaxFlowAge.String(), Range: tomldoc.Span(minMaxFlowAge, maxMaxFlowAge), Meaning: "Age of the oldest open flow; a target that left is remembered for it."},
+		{Name: "log.level", Unit: "choice", Default: DefaultLogLevel, Range: "debug, info, warn or error", Meaning: "Lowest level that is logged. Takes effect at SIGHUP."},
+		{Name: "log.lines_per_second", Unit: "count a second", Default: strconv.Itoa(DefaultLogRate), Range: tomldoc.Span(minLogRate, maxLogRate), Meaning: "Most lines of one message; the rest is counted and told."},
+	}
+}
--- a/internal/protocol/edgesettings/settings.go
+++ b/internal/protocol/edgesettings/settings.go
@@ -38,30 +38,6 @@
 	LogRate  int
 }
 
-// Defaults.
-const (
-	DefaultChangeBound   = 3 * time.Second
-	DefaultDrainBound    = 3 * time.Second
-	DefaultLeaveDeadline = 5 * time.Second
-	DefaultMaxFlowAge    = time.Minute
-	DefaultLogLevel      = "info"
-	DefaultLogRate       = 40
-)
-
-// Ranges, both ends included.
-const (
-	minChangeBound   = 100 * time.Millisecond
-	maxChangeBound   = time.Minute
-	minLeaveDeadline = 100 * time.Millisecond
-	maxLeaveDeadline = 10 * time.Minute
-	minMaxFlowAge    = time.Second
-	maxMaxFlowAge    = 24 * time.Hour
-	minLogRate       = 1
-	maxLogRate       = 10_000
-)
-
-var logLevels = []string{"debug", "info", "warn", "error"}
-
 // Parse reads and checks a settings file. Settings are valid only if there are
 // no issues; otherwise every issue of the file is returned.
 func Parse(data []byte) (Settings, tomldoc.Issues) {
