--- a/cmd/guavad/main.go
+++ b/cmd/guavad/main.go
@@ -5,12 +5,11 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/samber/oops"
 
 	"github.com/guavawharf/guavawharf/internal/daemon"
+	"github.com/guavawharf/guavawharf/internal/process"
 	"github.com/guavawharf/guavawharf/internal/protocol/settings"
 )
 
@@ -30,7 +29,7 @@
 }
 
 func run(options options) int {
-	checked, ok := readSettings(options.config)
+	checked, ok := process.ReadSettings("guavad", options.config, settings.Parse)
 	if !ok {
 		return exitSettings
 	}
@@ -39,7 +38,7 @@
 		return exitOK
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: checked.LogLevel}))
-	leave := leaveOnSignal()
+	leave := process.LeaveOnSignal()
 	d, err := daemon.New(checked, log)
 	if err != nil {
 		log.Error(daemon.LogStartFailed, "error", err.Error(), "code", errorCode(err))
@@ -56,30 +55,3 @@
 	}
 	return nil
 }
-
-// readSettings prints every issue of the file.
-func readSettings(path string) (settings.Settings, bool) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "guavad:", err)
-		return settings.Settings{}, false
-	}
-	checked, issues := settings.Parse(data)
-	for _, issue := range issues {
-		fmt.Fprintf(os.Stderr, "%s: %s\n", path, issue)
-	}
-	return checked, len(issues) == 0
-}
-
-// leaveOnSignal sends a value at the first SIGTERM or SIGINT; later ones have no
-// further effect.
-func leaveOnSignal() <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	leave := make(chan struct{}, 1)
-	go func() {
-		<-signals
-		leave <- struct{}{}
-	}()
-	return leave
-}
--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/edge"
+	"github.com/guavawharf/guavawharf/internal/process"
 	"github.com/guavawharf/guavawharf/internal/protocol/edgesettings"
 	"github.com/guavawharf/guavawharf/internal/transport/limitlog"
 )
@@ -57,23 +58,13 @@
 		return exitFailed
 	}
 	go reload(options.config, checked, level, log)
-	host.Run(leaveOnSignal())
+	host.Run(process.LeaveOnSignal())
 	log.Info("stopped")
 	return exitOK
 }
 
-// readSettings prints every issue of the file.
 func readSettings(path string) (edgesettings.Settings, bool) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "guavaedge:", err)
-		return edgesettings.Settings{}, false
-	}
-	checked, issues := edgesettings.Parse(data)
-	for _, issue := range issues {
-		fmt.Fprintf(os.Stderr, "%s: %s\n", path, issue)
-	}
-	return checked, len(issues) == 0
+	return process.ReadSettings("guavaedge", path, edgesettings.Parse)
 }
 
 // reload reads the settings again at each SIGHUP, and when the file has changed
@@ -113,15 +104,3 @@
 	}
 	return info.ModTime()
 }
-
-// leaveOnSignal sends a value at the first SIGTERM or SIGINT.
-func leaveOnSignal() <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	leave := make(chan struct{}, 1)
-	go func() {
-		<-signals
-		leave <- struct{}{}
-	}()
-	return leave
-}
--- a/internal/protocol/edgesettings/settings.go
+++ b/internal/protocol/edgesettings/settings.go
@@ -41,12 +41,7 @@
 // Parse reads and checks a settings file. Settings are valid only if there are
 // no issues; otherwise every issue of the file is returned.
 func Parse(data []byte) (Settings, tomldoc.Issues) {
-	root, issues := tomldoc.Parse(data)
-	if len(issues) > 0 {
-		return Settings{}, issues
-	}
-	settings := read(root)
-	return settings, root.Finish()
+	return tomldoc.Read(data, read)
 }
 
 func read(root *tomldoc.Table) Settings {
--- a/internal/protocol/tomldoc/table.go
+++ b/internal/protocol/tomldoc/table.go
@@ -34,6 +34,18 @@
 	return newTable(doc, "", values), nil
 }
 
+// Read returns what read makes of a document. It is valid only if there are no
+// issues; otherwise every issue of the document is returned.
+func Read[T any](data []byte, read func(root *Table) T) (T, Issues) {
+	root, issues := Parse(data)
+	if len(issues) > 0 {
+		var none T
+		return none, issues
+	}
+	value := read(root)
+	return value, root.Finish()
+}
+
 func syntaxIssue(err error) Issue {
 	issue := Issue{Key: "document", Message: err.Error()}
 	var decode *toml.DecodeError
