Reset an open flow only where its route was certainly removed

Cause, by reading: a host behind a new configuration would reset flows that another host opened by it; a target whose entry another writer spoiled would count as certainly gone. Change: an open flow at an address that never had a route here is dropped, not reset; entries that can't be read keep the view incomplete.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -141,11 +141,12 @@
 }
 
 // noRoute refuses at once what the configuration has no route for, so that the
-// client need not wait. A reset is never answered.
+// client need not wait. An open flow at an address that never had a route here may
+// belong to a newer configuration, which another host has already: it is left
+// alone. A reset is never answered.
 func (e *Engine) noRoute(p *Packet) Verdict {
-	delete(e.openings, p.key())
 	e.forget(p.key())
-	if p.Reset {
+	if p.Reset || !p.Opening && !e.view.Removed[p.Service] {
 		return Verdict{Reason: ReasonNoRoute}
 	}
 	return resetOf(p, ReasonNoRoute)
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -268,7 +268,7 @@
 	}
 	target, err := platform.DecodeTarget(object.Key, object.Value)
 	if err != nil {
-		c.directory.Remove(now, object.Key)
+		c.directory.PutUnreadable(now, object.Key)
 		c.edge.log.Warn("target entry not read", "target", object.Key, "revision", object.Revision, "error", err.Error())
 		return
 	}
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -26,6 +27,10 @@
 	departed map[string]departedTarget
 	// former holds, for each address, the pools that earlier versions named.
 	former map[netip.AddrPort][]PoolID
+	// removed are the addresses whose route a later version left out.
+	removed map[netip.AddrPort]bool
+	// unreadable are the entries that name no target, though one may live there.
+	unreadable map[string]bool
 	// trustedFrom is when a missing entry means again that its target is gone.
 	trustedFrom time.Duration
 	// listed tells that all entries were read once.
@@ -47,6 +52,9 @@
 		targets:  make(map[string]Target),
 		departed: make(map[string]departedTarget),
 		former:   make(map[netip.AddrPort][]PoolID),
+
+		removed:    make(map[netip.AddrPort]bool),
+		unreadable: make(map[string]bool),
 	}
 }
 
@@ -59,6 +67,7 @@
 		return false
 	}
 	d.rememberFormer(config)
+	d.rememberRemoved(config)
 	d.config = config
 	return true
 }
@@ -82,6 +91,20 @@
 	d.former = former
 }
 
+// rememberRemoved notes the addresses that lose their route. The set is replaced,
+// since views hold the one before.
+func (d *Directory) rememberRemoved(next Config) {
+	removed := make(map[netip.AddrPort]bool, len(d.removed))
+	maps.Copy(removed, d.removed)
+	for _, route := range d.config.Routes {
+		removed[route.Address] = true
+	}
+	for _, route := range next.Routes {
+		delete(removed, route.Address)
+	}
+	d.removed = removed
+}
+
 func routePools(config Config) map[netip.AddrPort][]PoolID {
 	pools := make(map[netip.AddrPort][]PoolID, len(config.Routes))
 	for _, route := range config.Routes {
@@ -101,11 +124,20 @@
 // Put takes the entry of a running target.
 func (d *Directory) Put(target Target) {
 	delete(d.departed, target.Name)
+	delete(d.unreadable, target.Name)
 	d.targets[target.Name] = target
 }
 
+// PutUnreadable takes an entry that can't be read. It names no target to use,
+// but a flow of a target with this name may be open.
+func (d *Directory) PutUnreadable(now time.Duration, name string) {
+	d.Remove(now, name)
+	d.unreadable[name] = true
+}
+
 // Remove takes note that a target's entry is gone.
 func (d *Directory) Remove(now time.Duration, name string) {
+	delete(d.unreadable, name)
 	target, known := d.targets[name]
 	if !known {
 		return
@@ -130,6 +162,7 @@
 			d.Remove(now, name)
 		}
 	}
+	maps.DeleteFunc(d.unreadable, func(name string, _ bool) bool { return !listed[name] })
 }
 
 // Targets returns the number of targets with an entry.
@@ -141,7 +174,8 @@
 	b := builder{view: &View{
 		Version:     d.config.Version,
 		IdleTimeout: d.config.IdleTimeout,
-		Complete:    d.listed && now >= d.trustedFrom,
+		Complete:    d.listed && now >= d.trustedFrom && len(d.unreadable) == 0,
+		Removed:     d.removed,
 		Routes:      make(map[netip.AddrPort]*RouteEntry, len(d.config.Routes)),
 		Pools:       make(map[PoolID]*Pool),
 	}, healthPaths: d.config.HealthPaths}
@@ -149,7 +183,7 @@
 		b.add(target, !target.Draining)
 	}
 	next := d.addDeparted(now, &b)
-	if d.listed && !b.view.Complete && (next == 0 || d.trustedFrom < next) {
+	if d.listed && now < d.trustedFrom && (next == 0 || d.trustedFrom < next) {
 		next = d.trustedFrom
 	}
 	b.finish()
--- a/internal/state/catalog/directory_test.go
+++ b/internal/state/catalog/directory_test.go
@@ -93,6 +93,29 @@
 	require.True(t, view(d, 22*time.Second).Complete)
 }
 
+func TestAnEntryThatCannotBeReadLeavesTheViewIncomplete(t *testing.T) {
+	d := newTestDirectory()
+	d.RemoveAllBut(0, nil)
+	d.Put(entry("t1", 1))
+	d.PutUnreadable(time.Second, "t1")
+	current := view(d, 10*time.Second)
+	require.False(t, current.Complete, "a flow of t1 may be open")
+	require.Empty(t, names(current.Pools["orders"]))
+	d.Remove(time.Second, "t1")
+	require.True(t, view(d, 10*time.Second).Complete)
+	d.PutUnreadable(time.Second, "t2")
+	d.RemoveAllBut(time.Second, nil)
+	require.True(t, view(d, 10*time.Second).Complete)
+}
+
+func TestAViewRemembersAddressesThatLostTheirRoute(t *testing.T) {
+	d := newTestDirectory()
+	d.SetConfig(Config{Version: 2})
+	require.True(t, view(d, 0).Removed[feed])
+	d.SetConfig(config(3, "orders"))
+	require.False(t, view(d, 0).Removed[feed])
+}
+
 func TestAnEntryRemovedWhileTheStoreAnswersIsGoneAtOnce(t *testing.T) {
 	d := newTestDirectory()
 	d.Put(entry("t1", 1))
--- a/internal/state/catalog/view.go
+++ b/internal/state/catalog/view.go
@@ -57,8 +57,10 @@
 	// Complete tells that every living target is known: a cookie that names none
 	// belongs to a target that is gone.
 	Complete bool
-	Routes   map[netip.AddrPort]*RouteEntry
-	Pools    map[PoolID]*Pool
+	// Removed are addresses that had a route in an earlier version.
+	Removed map[netip.AddrPort]bool
+	Routes  map[netip.AddrPort]*RouteEntry
+	Pools   map[PoolID]*Pool
 }
 
 // Knows tells whether the cookie names a target of any pool.
