--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -108,8 +108,9 @@
 
 // target starts a target with an entry in the store.
 func (b *bed) target(name, zone string) *platformtest.Target {
-	target, err := platformtest.StartTarget(b.ip, name, packetsPort)
+	target, err := platformtest.NewTarget(b.ip, name, packetsPort)
 	require.NoError(b.t, err)
+	go target.Serve()
 	b.t.Cleanup(target.Stop)
 	b.store.Put("servers", name, target.Entry("taller", zone, "ready"))
 	return target
@@ -156,17 +157,22 @@
 	require.Eventually(b.t, what, patience, 5*time.Millisecond)
 }
 
+// there is the host, as the fabric's only choice.
+func (b *bed) there() netip.AddrPort { return b.host }
+
 // open opens a flow; the client's own copies are left to the caller.
 func (b *bed) open() *platformtest.Flow {
-	flow, err := b.client.Open(b.host, feed, patience)
+	flow, err := b.client.Open(b.there, feed, patience)
 	require.NoError(b.t, err)
 	return flow
 }
 
 // request returns the name of the target that answers.
 func (b *bed) request(flow *platformtest.Flow) string {
-	name, err := flow.Request(b.host, patience)
+	answer, err := flow.Request("request", patience)
 	require.NoError(b.t, err)
+	name, request, _ := strings.Cut(answer, " ")
+	require.Equal(b.t, "request", request)
 	return name
 }
 
@@ -216,11 +222,11 @@
 	b.target("i-2a00000001", "a")
 	b.start()
 	b.waitReady()
-	_, err := b.client.Open(b.host, removed, patience)
+	_, err := b.client.Open(b.there, removed, patience)
 	require.NoError(t, err)
 	b.configure(3, feed)
 	b.eventually(func() bool {
-		_, err := b.client.Open(b.host, removed, patience)
+		_, err := b.client.Open(b.there, removed, patience)
 		return err == platformtest.ErrReset
 	})
 	b.configure(2, feed, removed)
