Reset a flow of an unknown target only after the targets were read since

Ruled out: the target, the store. Change: a cookie that names no known target has the targets read, at most every 0.5 s, and counts as that of a target that is gone only after an answered read that was asked for later.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -20,6 +20,8 @@
 	StaleStart bool
 	// Interval is the time from the answer of a poll to the next poll.
 	Interval time.Duration
+	// HurryInterval is the least time from one poll to another that Hurry asks for.
+	HurryInterval time.Duration
 	// RetryMin and RetryMax bound the time to the next call after a failure.
 	RetryMin time.Duration
 	RetryMax time.Duration
@@ -40,7 +42,11 @@
 	from string
 	seen map[string]bool
 
-	busy     bool
+	busy bool
+	// asked is when the call that runs was made; readAt is when the newest current
+	// poll that was answered was made.
+	asked    time.Duration
+	readAt   time.Duration
 	due      time.Duration
 	failures int
 	lastGood time.Duration
@@ -60,6 +66,18 @@
 // LastGood is when the store was last known to have answered.
 func (f *Follower) LastGood() time.Duration { return f.lastGood }
 
+// ReadAt is when the newest answered poll was asked for: what was written before
+// is known.
+func (f *Follower) ReadAt() time.Duration { return f.readAt }
+
+// Hurry makes the next poll due soon: at once, but not more often than the least
+// interval.
+func (f *Follower) Hurry(now time.Duration) {
+	if f.listed && f.failures == 0 {
+		f.due = min(f.due, max(now, f.asked+f.settings.HurryInterval))
+	}
+}
+
 // Due returns when the next call is to be made; ok is false while one runs.
 func (f *Follower) Due() (at time.Duration, ok bool) { return f.due, !f.busy }
 
@@ -69,6 +87,7 @@
 		return objects.Call{}, false
 	}
 	f.busy = true
+	f.asked = now
 	if !f.listed || f.seen != nil {
 		return f.list(), true
 	}
@@ -143,6 +162,7 @@
 
 func (f *Follower) tookEvents(now time.Duration, page objects.Page) Change {
 	f.revision = max(f.revision, page.Revision)
+	f.readAt = f.asked
 	f.due = now + f.settings.Interval
 	if page.More || len(page.Objects) >= manyChanges {
 		f.due = now
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -105,6 +105,22 @@
 	require.False(t, due)
 }
 
+func TestHurryMakesAPollDueWithinItsLimit(t *testing.T) {
+	settings := testSettings
+	settings.HurryInterval = 500 * time.Millisecond
+	f := New(settings, half)
+	f.Answer(0, next(t, f, 0), page(7, false, "t1"))
+	f.Hurry(100 * time.Millisecond)
+	at, _ := f.Due()
+	require.Equal(t, settings.HurryInterval, at, "not sooner after the call before")
+	call := next(t, f, at)
+	f.Answer(at+10*time.Millisecond, call, page(8, false))
+	require.Equal(t, at, f.ReadAt(), "what was written before the call is known")
+	f.Hurry(2 * time.Second)
+	again, _ := f.Due()
+	require.Equal(t, 2*time.Second, again)
+}
+
 // In a sweep with 3,000 targets a host knew of a leaving one 6.4 s later: more had
 // changed than one answer held, and the rest came a whole interval later.
 func TestManyChangesAreFollowedByAPollAtOnce(t *testing.T) {
--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -21,7 +21,8 @@
 	openings  map[state.FlowKey]*flow
 	nextSweep time.Duration
 	// resets are flows to reset at the next Due.
-	resets []Verdict
+	resets  []Verdict
+	unknown unknownCookies
 }
 
 // NewEngine returns an engine of a host in a failure domain.
@@ -31,6 +32,7 @@
 		records:  newRecords(domain),
 		flows:    make(map[state.FlowKey]*flow),
 		openings: make(map[state.FlowKey]*flow),
+		unknown:  unknownCookies{seen: make(map[catalog.Cookie]time.Duration)},
 	}
 }
 
@@ -120,7 +122,7 @@
 	}
 	target := route.Target(p.Cookie)
 	if target == nil {
-		return e.unknownCookie(p)
+		return e.unknownCookie(now, p)
 	}
 	if goesOn := e.observe(now, route, target, p); !goesOn {
 		verdict := resetOf(p, ReasonTargetSilent)
@@ -132,11 +134,15 @@
 
 // unknownCookie decides about a packet whose target is not known. Where every
 // living target is known it is gone, and a new try serves the client better. A
-// cookie of another pool proves nothing about the flow.
-func (e *Engine) unknownCookie(p *Packet) Verdict {
+// cookie of another pool proves nothing about the flow, nor does one of a target
+// that started after the targets were read last: another host may know it.
+func (e *Engine) unknownCookie(now time.Duration, p *Packet) Verdict {
 	if !e.view.Complete || p.Reset || e.view.Knows(p.Cookie) {
 		return Verdict{Reason: ReasonUnknownCookie}
 	}
+	if !e.unknown.readSince(now, p.Cookie) {
+		return Verdict{Reason: ReasonUnknownCookie}
+	}
 	return resetOf(p, ReasonTargetUnknown)
 }
 
@@ -234,6 +240,7 @@
 		}
 	}
 	e.records.keep(e.offered)
+	e.unknown.sweep(now)
 }
 
 // offered tells whether a target takes new flows.
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -41,6 +41,10 @@
 	b.publish()
 	c := b.caller(depositAddress)
 	c.cookie = 77
+	require.Equal(t, ReasonUnknownCookie, c.request().Reason)
+	require.True(t, b.engine.TakeReadWanted())
+	b.engine.SetTargetsRead(b.now + time.Millisecond)
+	b.now += 200 * time.Millisecond
 	require.Equal(t, ReasonTargetUnknown, c.request().Reason)
 	require.Equal(t, ActionReset, c.request().Action)
 	require.Equal(t, ActionDrop, c.send(Packet{Reset: true}).Action)
@@ -52,6 +56,27 @@
 	require.Equal(t, ActionDrop, c.request().Action, "its entry may have lapsed")
 }
 
+// Soak seed 27: a host that had been paused reset the flows of a target that had
+// started meanwhile and that the other hosts knew.
+func TestAFlowOfATargetNotYetReadIsLeftAlone(t *testing.T) {
+	b := newBed(t, order(1, "a"))
+	b.directory.RemoveAllBut(b.now, map[string]bool{"t1": true})
+	b.publish()
+	b.engine.SetTargetsRead(b.now)
+	b.now += 3 * time.Second
+	c := b.caller(feedAddress)
+	c.cookie = order(2, "a").ID.Cookie()
+	for range 5 {
+		require.Equal(t, Verdict{Reason: ReasonUnknownCookie}, c.repeat())
+		require.True(t, b.engine.TakeReadWanted(), "its target may be known by now")
+		b.now += 200 * time.Millisecond
+	}
+	b.directory.Put(order(2, "a"))
+	b.publish()
+	b.engine.SetTargetsRead(b.now)
+	require.Equal(t, ActionForward, c.repeat().Action)
+}
+
 func TestWithoutAConfigurationEverythingIsDropped(t *testing.T) {
 	b := emptyBed(t)
 	require.Equal(t, Verdict{Reason: ReasonNotReady}, b.caller(feedAddress).open())
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -27,6 +27,8 @@
 const (
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// hurryInterval bounds the polls for cookies whose target is not known.
+	hurryInterval = 500 * time.Millisecond
 	// storeConnections and storeCalls are one for each follower.
 	storeConnections = 2
 	storeCalls       = 2
@@ -50,9 +52,13 @@
 	pool      *ants.Pool
 	directory *catalog.Directory
 	followers []*followed
-	answers   chan answer
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// targets is the follower of the targets.
+	targets *follow.Follower
+	answers chan answer
+	// hurry asks for a read of the targets now.
+	hurry  chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
 	// rebuildAt is when the view changes by time alone, 0 for never.
 	rebuildAt time.Duration
 	// wasReady tells that a view that can serve was published.
@@ -86,6 +92,7 @@
 		client:  store.NewClient(storeSettings(e), e.metrics),
 		pool:    pool,
 		answers: make(chan answer, storeCalls),
+		hurry:   make(chan struct{}, 1),
 		ctx:     ctx,
 		cancel:  cancel,
 		directory: catalog.NewDirectory(catalog.Settings{
@@ -96,7 +103,7 @@
 	// The configuration is read as it is now before anything is served by it. Of
 	// targets there are many: old lists spare the store when all hosts start.
 	c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, c.applyConfig)
-	c.follow(follow.Settings{Kind: platform.KindTargets, StaleStart: true}, e.settings.DrainBound, c.applyTargets)
+	c.targets = c.follow(follow.Settings{Kind: platform.KindTargets, StaleStart: true}, e.settings.DrainBound, c.applyTargets)
 	return c, nil
 }
 
@@ -120,15 +127,22 @@
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
 
 // follow adds a follower whose changes have to be known within a bound.
-func (c *control) follow(settings follow.Settings, bound time.Duration, apply func(time.Duration, follow.Change) bool) {
+func (c *control) follow(settings follow.Settings, bound time.Duration, apply func(time.Duration, follow.Change) bool) *follow.Follower {
 	settings.Interval = share(bound, intervalShare)
+	settings.HurryInterval = hurryInterval
 	settings.RetryMin = retryMin
 	settings.RetryMax = retryMax
-	c.followers = append(c.followers, &followed{
-		kind:     settings.Kind,
-		apply:    apply,
-		follower: follow.New(settings, rand.Float64),
-	})
+	follower := follow.New(settings, rand.Float64)
+	c.followers = append(c.followers, &followed{kind: settings.Kind, apply: apply, follower: follower})
+	return follower
+}
+
+// hurryTargets asks for a read of the targets now; it never waits.
+func (c *control) hurryTargets() {
+	select {
+	case c.hurry <- struct{}{}:
+	default:
+	}
 }
 
 // run makes the calls that are due and takes their answers.
@@ -140,6 +154,8 @@
 			return
 		case a := <-c.answers:
 			c.take(a)
+		case <-c.hurry:
+			c.targets.Hurry(c.edge.now())
 		case <-timer.C:
 		}
 		now := c.edge.now()
@@ -189,6 +205,8 @@
 	if a.of.apply(now, change) {
 		c.publish(now)
 	}
+	// After the view that holds what was read.
+	c.edge.targetsRead.Store(int64(c.targets.ReadAt()))
 }
 
 // noteStore logs when the store is lost and when it is back.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,10 +40,13 @@
 	firstReady chan struct{}
 	// lastPacket is when the newest packet arrived, in nanoseconds from start.
 	lastPacket atomic.Int64
-	metrics    *measures
-	traffic    *traffic
-	control    *control
-	pages      *pages
+	// targetsRead is when the newest answered read of the targets was asked for, in
+	// nanoseconds from start.
+	targetsRead atomic.Int64
+	metrics     *measures
+	traffic     *traffic
+	control     *control
+	pages       *pages
 }
 
 // New opens every socket. Nothing is served before Run.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,7 +31,6 @@
 // bed is a platform with one host of the product.
 type bed struct {
 	t       *testing.T
-	ip      netip.Addr
 	store   *platformtest.Store
 	server  *httptest.Server
 	client  *platformtest.Client
@@ -63,8 +61,8 @@
 	return strings.Contains(l.text.String(), part)
 }
 
-// beds counts the beds of this process; each has an IP address of its own, so
-// that tests that run at once share no port.
+// beds counts the beds of this process; each has addresses of its own, so that
+// tests that run at once share no port.
 var beds atomic.Uint32
 
 // Ports of a bed's host; clients have the first one, too.
@@ -74,27 +72,21 @@
 	metricsPort = 7002
 )
 
-// bedIP returns an address of the loopback network.
-func bedIP(bed uint32, end byte) netip.Addr {
-	const processes = 100
-	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%processes), byte(bed), end})
-}
-
 // newBed starts a store and a client, no host yet.
 func newBed(t *testing.T) *bed {
 	t.Parallel()
-	number := beds.Add(1)
-	ip := bedIP(number, 1)
+	network, err := platformtest.ClaimLoopback()
+	require.NoError(t, err)
+	group := byte(beds.Add(1))
 	b := &bed{
-		t: t, ip: ip, store: platformtest.NewStore(), logs: new(logBuffer),
-		host:    netip.AddrPortFrom(ip, packetsPort),
-		ready:   netip.AddrPortFrom(ip, readyPort),
-		metrics: netip.AddrPortFrom(ip, metricsPort),
+		t: t, store: platformtest.NewStore(), logs: new(logBuffer),
+		host:    network.Address(group, 1, packetsPort),
+		ready:   network.Address(group, 1, readyPort),
+		metrics: network.Address(group, 1, metricsPort),
 	}
 	b.server = httptest.NewServer(b.store)
 	t.Cleanup(b.server.Close)
-	var err error
-	b.client, err = platformtest.NewClient(netip.AddrPortFrom(bedIP(number, 2), packetsPort))
+	b.client, err = platformtest.NewClient(network.Address(group, 2, packetsPort))
 	require.NoError(t, err)
 	t.Cleanup(b.client.Close)
 	b.configure(1, feed, removed)
@@ -108,7 +100,7 @@
 
 // target starts a target with an entry in the store.
 func (b *bed) target(name, zone string) *platformtest.Target {
-	target, err := platformtest.NewTarget(b.ip, name, packetsPort)
+	target, err := platformtest.NewTarget(b.host.Addr(), name, packetsPort)
 	require.NoError(b.t, err)
 	go target.Serve()
 	b.t.Cleanup(target.Stop)
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -137,10 +137,13 @@
 
 // refresh takes the newest view.
 func (t *traffic) refresh() {
+	// Before the view: it holds at least what that read brought.
+	read := time.Duration(t.edge.targetsRead.Load())
 	if view := t.edge.view.Load(); view != t.view && view != nil {
 		t.view = view
 		t.engine.SetView(t.now, view)
 	}
+	t.engine.SetTargetsRead(read)
 }
 
 // take handles one datagram. The slot is free again after the next flush, which
@@ -215,6 +218,9 @@
 			t.engine.Checked(t.now, check.Target, true)
 		}
 	}
+	if t.engine.TakeReadWanted() {
+		t.edge.control.hurryTargets()
+	}
 	for _, belief := range t.engine.TakeBeliefs() {
 		t.edge.logBelief(belief)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,8 +20,8 @@
 )
 
 var (
-	seeds     = flag.Int("soak.seeds", 3, "number of seeds to play")
-	firstSeed = flag.Uint64("soak.first", 2, "first seed")
+	seeds     = flag.Int("soak.seeds", 0, "number of fresh seeds to play instead of those that failed once")
+	firstSeed = flag.Uint64("soak.first", 1, "first fresh seed")
 	length    = flag.Duration("soak.length", 5*time.Second, "length of the faults of one seed")
 )
 
@@ -50,8 +50,23 @@
 	return m.Run()
 }
 
+// failedOnce are the seeds that failed once; CONTRIBUTING.md has their causes.
+var failedOnce = []uint64{2, 4, 27}
+
+// seedsToPlay returns the fresh seeds asked for, or those that failed once.
+func seedsToPlay() []uint64 {
+	if *seeds == 0 {
+		return failedOnce
+	}
+	var fresh []uint64
+	for i := range *seeds {
+		fresh = append(fresh, *firstSeed+uint64(i))
+	}
+	return fresh
+}
+
 func TestSoak(t *testing.T) {
-	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+	for _, seed := range seedsToPlay() {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			w := newWorld(t, seed)
 			w.play(*length)
@@ -62,8 +77,7 @@
 	}
 }
 
-// A build that forwards to the wrong target, or not at all, has to be noticed: the
-// check of answers is shown to fail.
+// The checks themselves are shown to fail.
 func TestTheSoakNoticesAWrongAnswer(t *testing.T) {
 	w := newWorld(t, 1)
 	w.judgeAnswer("i-1", "r1", "i-2 r1")
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -45,6 +45,7 @@
 type world struct {
 	t       *testing.T
 	seed    uint64
+	network *platformtest.Loopback
 	store   *platformtest.Store
 	server  *httptest.Server
 	hosts   []*host
@@ -79,6 +80,9 @@
 	config  string
 	log     *os.File
 
+	// restarting is held from the end of a process to the start of the next.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	paused  bool
@@ -86,14 +90,14 @@
 
 // address returns one of the world's addresses on the loopback network.
 func (w *world) address(group, number byte, port uint16) netip.AddrPort {
-	const processes = 100
-	first := byte(101 + os.Getpid()%processes)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, first, group, number}), port)
+	return w.network.Address(group, number, port)
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
+	network, err := platformtest.ClaimLoopback()
+	require.NoError(t, err)
 	w := &world{
-		t: t, seed: seed, store: platformtest.NewStore(), faults: make(map[string]int),
+		t: t, seed: seed, network: network, store: platformtest.NewStore(), faults: make(map[string]int),
 		ran: make(map[string]int), opened: make(map[netip.AddrPort][]string),
 	}
 	w.server = httptest.NewServer(w.store)
@@ -187,12 +191,22 @@
 
 // restart ends a host's process by a signal and starts another.
 func (w *world) restart(h *host, s syscall.Signal) {
+	h.restarting.Lock()
+	defer h.restarting.Unlock()
 	h.signal(syscall.SIGCONT)
 	h.signal(s)
+	// The exit code of a process that was killed says nothing.
 	_ = h.process.Wait()
 	w.start(h)
 }
 
+// awaitRestart waits while a restart goes on: a host that is leaving answers until
+// its process has ended.
+func (h *host) awaitRestart() {
+	h.restarting.Lock()
+	defer h.restarting.Unlock()
+}
+
 func (w *world) isReady(h *host) bool {
 	client := http.Client{Timeout: 100 * time.Millisecond}
 	response, err := client.Get("http://" + h.ready.String() + platformtest.PathReady)
@@ -205,6 +219,7 @@
 
 func (w *world) waitReady() {
 	for _, h := range w.hosts {
+		h.awaitRestart()
 		require.Eventually(w.t, func() bool { return w.isReady(h) }, 10*time.Second, 20*time.Millisecond, "host %s", h.address)
 	}
 	w.mu.Lock()
@@ -236,7 +251,7 @@
 		make func()
 	}{
 		{"kill", func() { w.restart(h, syscall.SIGKILL) }},
-		{"terminate", func() { go w.restartGently(h) }},
+		{"terminate", func() { w.restartGently(h) }},
 		{"pause", func() { h.signal(syscall.SIGSTOP) }},
 		{"go on", func() { h.signal(syscall.SIGCONT) }},
 		{"target ends", func() { w.endTarget(random) }},
@@ -266,9 +281,11 @@
 // restartGently restarts a host as an upgrade does, while other faults go on.
 func (w *world) restartGently(h *host) {
 	w.running.Add(1)
-	defer w.running.Done()
-	w.restart(h, syscall.SIGTERM)
-	w.disturb()
+	go func() {
+		defer w.running.Done()
+		w.restart(h, syscall.SIGTERM)
+		w.disturb()
+	}()
 }
 
 // endTarget crashes a target unless it is one of the last two.
