Decide what is due under steady traffic too, and serve flows while no target is open

Found by reading. A host whose targets all leave dropped open flows as not ready. An opening without any target was refused although entries may have lapsed; now it is dropped until that is certain, so that the client's copy is served. A target that answered an earlier offer counts as answering.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -110,7 +110,7 @@
 
 // Packet decides about a client's packet.
 func (e *Engine) Packet(now time.Duration, p *Packet) Verdict {
-	if !e.view.Ready() {
+	if !e.view.Decides() {
 		return Verdict{Reason: ReasonNotReady}
 	}
 	route := e.view.Routes[p.Service]
@@ -196,9 +196,8 @@
 func (e *Engine) opened(now time.Duration, key state.FlowKey, route *catalog.RouteEntry, target *catalog.Target, p *Packet, before *flow) *flow {
 	r := e.records.of(target, now)
 	if before != nil {
-		if o := before.opening; o != nil && len(o.tried) > 0 && o.tried[len(o.tried)-1] == r {
-			r.answers.add(now - o.offeredAt)
-			e.records.answered(now, r)
+		if o := before.opening; o != nil && contains(o.tried, r) {
+			e.tookOffer(now, o, r)
 		}
 		e.forget(key)
 	}
@@ -208,6 +207,15 @@
 	return f
 }
 
+// tookOffer notes that a target answered an opening. Only of the newest offer it is
+// known how long that took.
+func (e *Engine) tookOffer(now time.Duration, o *opening, r *record) {
+	e.records.answered(now, r)
+	if o.tried[len(o.tried)-1] == r {
+		r.answers.add(now - o.offeredAt)
+	}
+}
+
 // forget drops what is known of a flow.
 func (e *Engine) forget(key state.FlowKey) {
 	f := e.flows[key]
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -196,8 +196,25 @@
 	require.Equal(t, ActionForward, b.caller(feedAddress).open().Action)
 }
 
+// All targets may leave at once, in a release of everything.
+func TestOpenFlowsGoOnWhileNoTargetTakesNewOnes(t *testing.T) {
+	b := newBed(t, order(1, "a"))
+	b.directory.RemoveAllBut(b.now, map[string]bool{"t1": true})
+	c := b.establishAt(feedAddress, "t1")
+	leaving := order(1, "a")
+	leaving.Draining = true
+	b.directory.Put(leaving)
+	b.publish()
+	require.False(t, b.engine.view.Ready())
+	require.Equal(t, ActionForward, c.request().Action)
+	require.Equal(t, ReasonNoTarget, b.caller(feedAddress).open().Reason)
+}
+
 func TestAPoolWithoutTargetsIsRefusedAtOnce(t *testing.T) {
 	b := newBed(t, order(1, "a"))
+	require.Equal(t, Verdict{Reason: ReasonNoTarget}, b.caller(proofAddress).open(), "entries may have lapsed")
+	b.directory.RemoveAllBut(b.now, map[string]bool{"t1": true})
+	b.publish()
 	verdict := b.caller(proofAddress).open()
 	require.Equal(t, ActionReset, verdict.Action)
 	require.Equal(t, ReasonNoTarget, verdict.Reason)
--- a/internal/coordination/steer/opening.go
+++ b/internal/coordination/steer/opening.go
@@ -56,7 +56,7 @@
 		target, r = e.choose(now, o.pool, nil)
 	}
 	if target == nil {
-		return Verdict{Action: ActionReset, Reason: ReasonNoTarget, Client: f.key.Caller, Service: f.key.Service}
+		return e.noTarget(f)
 	}
 	r.offers++
 	o.tried = append(o.tried, r)
@@ -74,6 +74,15 @@
 	}
 }
 
+// noTarget refuses an opening at once when nobody can take it. While targets may
+// live whose entries lapsed, the client's next copy may be served.
+func (e *Engine) noTarget(f *flow) Verdict {
+	if !e.view.Complete {
+		return Verdict{Reason: ReasonNoTarget}
+	}
+	return Verdict{Action: ActionReset, Reason: ReasonNoTarget, Client: f.key.Caller, Service: f.key.Service}
+}
+
 // release takes an opening's offers off its targets' load.
 func (o *opening) release() {
 	for _, r := range o.tried {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -252,6 +252,38 @@
 	require.True(t, b.logs.contains("target does not answer"))
 }
 
+// Under steady traffic the read never runs out of packets, and what was due was
+// never looked at.
+func TestOpeningsAreOfferedAgainUnderSteadyTraffic(t *testing.T) {
+	b := newBed(t)
+	dead := b.target("i-2a00000001", "a")
+	b.target("i-2a00000002", "a")
+	b.start()
+	b.eventually(func() bool { return b.logs.contains("i-2a00000002") && b.isReady() })
+	conn, err := net.Dial("udp", b.host.String())
+	require.NoError(t, err)
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				// A full socket drops datagrams; the host counts what it gets.
+				_, _ = conn.Write([]byte("short"))
+				time.Sleep(50 * time.Microsecond)
+			}
+		}
+	}()
+	dead.Stop()
+	for range 10 {
+		began := time.Now()
+		b.open()
+		require.Less(t, time.Since(began), 180*time.Millisecond, "before the client repeats itself")
+	}
+}
+
 func TestALostHistoryLosesNoChange(t *testing.T) {
 	b := newBed(t)
 	b.target("i-2a00000001", "a")
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -81,6 +81,9 @@
 		t.now = t.edge.now()
 		t.takeChecked()
 		switch {
+		case err == nil && settling:
+			// What had arrived is read; more may always come.
+			t.due()
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			t.wake = 0
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -174,6 +174,7 @@
 	b := builder{view: &View{
 		Version:     d.config.Version,
 		IdleTimeout: d.config.IdleTimeout,
+		Listed:      d.listed,
 		Complete:    d.listed && now >= d.trustedFrom && len(d.unreadable) == 0,
 		Removed:     d.removed,
 		Routes:      make(map[netip.AddrPort]*RouteEntry, len(d.config.Routes)),
--- a/internal/state/catalog/view.go
+++ b/internal/state/catalog/view.go
@@ -54,6 +54,8 @@
 	// Version is the configuration's, 0 while none is known.
 	Version     uint64
 	IdleTimeout time.Duration
+	// Listed tells that all entries were read once.
+	Listed bool
 	// Complete tells that every living target is known: a cookie that names none
 	// belongs to a target that is gone.
 	Complete bool
@@ -73,12 +75,17 @@
 	return false
 }
 
-// Ready tells whether flows can be served: a configuration and a target are
-// known.
-func (v *View) Ready() bool {
-	if v == nil || v.Version == 0 {
-		return false
-	}
+// Decides tells whether packets can be decided about: a configuration is known,
+// and either every target or at least one.
+func (v *View) Decides() bool {
+	return v != nil && v.Version != 0 && (v.Listed || v.offers())
+}
+
+// Ready tells whether new flows can be served: a configuration and a target that
+// takes them are known.
+func (v *View) Ready() bool { return v != nil && v.Version != 0 && v.offers() }
+
+func (v *View) offers() bool {
 	for _, pool := range v.Pools {
 		if len(pool.Offered) > 0 {
 			return true
