Serve latency histograms and the age of what is known

Time from opening to open, to decide about an opening, of store calls by kind and result; ages of configuration and targets.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -23,6 +23,8 @@
 	// resets are flows to reset at the next Due.
 	resets  []Verdict
 	unknown unknownCookies
+	// openedAfter is Verdict.OpenedAfter of the packet at hand.
+	openedAfter time.Duration
 }
 
 // NewEngine returns an engine of a host in a failure domain.
@@ -124,12 +126,19 @@
 	if target == nil {
 		return e.unknownCookie(now, p)
 	}
+	e.openedAfter = 0
 	if goesOn := e.observe(now, route, target, p); !goesOn {
 		verdict := resetOf(p, ReasonTargetSilent)
 		verdict.Basis = e.records.of(target, now).basis(now)
 		return verdict
 	}
-	return Verdict{Action: ActionForward, Reason: ReasonEstablished, Target: target, Raw: p.Raw}
+	return Verdict{
+		Action:      ActionForward,
+		Reason:      ReasonEstablished,
+		Target:      target,
+		Raw:         p.Raw,
+		OpenedAfter: e.openedAfter,
+	}
 }
 
 // unknownCookie decides about a packet whose target is not known. Where every
@@ -211,6 +220,7 @@
 // known how long that took.
 func (e *Engine) tookOffer(now time.Duration, o *opening, r *record) {
 	e.records.answered(now, r)
+	e.openedAfter = now - o.began
 	if o.tried[len(o.tried)-1] == r {
 		r.answers.add(now - o.offeredAt)
 	}
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -144,7 +144,9 @@
 	require.True(t, verdicts[0].Opening)
 	require.Equal(t, []byte("opening"), verdicts[0].Raw)
 	require.NotEqual(t, first.Target.ID, verdicts[0].Target.ID)
-	c.opened(verdicts[0].Target)
+	b.now += 4 * time.Millisecond
+	require.Equal(t, offerLocal+4*time.Millisecond, c.opened(verdicts[0].Target).OpenedAfter)
+	require.Zero(t, c.request().OpenedAfter)
 	require.Empty(t, b.due(time.Second), "an open flow is not offered again")
 }
 
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -79,6 +79,9 @@
 	Seq     uint32
 	// Raw is the packet to send for ActionForward.
 	Raw []byte
+	// OpenedAfter is the time from the opening, where the packet is the first one
+	// after it; 0 otherwise.
+	OpenedAfter time.Duration
 	// Basis tells what decided about an opening or a reset.
 	Basis Basis
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -52,7 +52,8 @@
 	pool      *ants.Pool
 	directory *catalog.Directory
 	followers []*followed
-	// targets is the follower of the targets.
+	// config and targets are the followers of both kinds.
+	config  *follow.Follower
 	targets *follow.Follower
 	answers chan answer
 	// hurry asks for a read of the targets now.
@@ -102,7 +103,7 @@
 	}
 	// The configuration is read as it is now before anything is served by it. Of
 	// targets there are many: old lists spare the store when all hosts start.
-	c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, c.applyConfig)
+	c.config = c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, c.applyConfig)
 	c.targets = c.follow(follow.Settings{Kind: platform.KindTargets, StaleStart: true}, e.settings.DrainBound, c.applyTargets)
 	return c, nil
 }
@@ -175,7 +176,10 @@
 			continue
 		}
 		err := c.pool.Submit(func() {
-			c.answers <- answer{of: f, call: call, outcome: c.client.Do(c.ctx, call)}
+			began := time.Now()
+			outcome := c.client.Do(c.ctx, call)
+			c.edge.metrics.storeCall(f.kind, outcome, time.Since(began))
+			c.answers <- answer{of: f, call: call, outcome: outcome}
 		})
 		if err != nil {
 			c.edge.log.Error("store call not started", "kind", f.kind, "error", err.Error())
@@ -206,6 +210,7 @@
 		c.publish(now)
 	}
 	// After the view that holds what was read.
+	c.edge.configRead.Store(int64(c.config.ReadAt()))
 	c.edge.targetsRead.Store(int64(c.targets.ReadAt()))
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,8 +40,9 @@
 	firstReady chan struct{}
 	// lastPacket is when the newest packet arrived, in nanoseconds from start.
 	lastPacket atomic.Int64
-	// targetsRead is when the newest answered read of the targets was asked for, in
-	// nanoseconds from start.
+	// configRead and targetsRead are when the newest answered reads were asked for,
+	// in nanoseconds from start.
+	configRead  atomic.Int64
 	targetsRead atomic.Int64
 	metrics     *measures
 	traffic     *traffic
@@ -52,6 +53,7 @@
 // New opens every socket. Nothing is served before Run.
 func New(settings edgesettings.Settings, log *slog.Logger) (*Edge, error) {
 	e := &Edge{settings: settings, log: log, start: time.Now(), firstReady: make(chan struct{}), metrics: newMeasures()}
+	e.metrics.watchAges(e)
 	socket, err := udp.Listen(settings.Packets)
 	if err != nil {
 		return nil, err
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -368,4 +368,10 @@
 	require.NoError(t, err)
 	require.Contains(t, string(body), `guava_verdicts_total{reason="placed"} 1`)
 	require.Contains(t, string(body), "guava_platform_attempt_list_total 2")
+	for _, name := range []string{
+		"guava_opening_seconds_count 1", "guava_decision_seconds_count 1", "guava_config_version 1",
+		"guava_targets_age_seconds ", "guava_config_age_seconds ", `guava_store_call_seconds_bucket{kind="config",result="ok",le="`,
+	} {
+		require.Contains(t, string(body), name)
+	}
 }
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -5,11 +5,14 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
 // measures are the counters of the process.
@@ -19,8 +22,19 @@
 	badPackets *metrics.Counter
 	sendFailed *metrics.Counter
 	checks     *metrics.Counter
+	// opened is the time from an opening to the client's next packet, decided that
+	// to a decision about an opening, both in seconds.
+	opened  *metrics.PrometheusHistogram
+	decided *metrics.PrometheusHistogram
 }
 
+// Upper ends of the histograms' buckets in seconds.
+var (
+	openedBuckets  = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}
+	decidedBuckets = []float64{1e-6, 3e-6, 1e-5, 3e-5, 1e-4, 3e-4, 1e-3, 1e-2}
+	callBuckets    = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}
+)
+
 // countedReasons are those with a counter of their own.
 var countedReasons = []steer.Reason{
 	steer.ReasonEstablished, steer.ReasonPlaced, steer.ReasonOfferedAgain, steer.ReasonNotReady,
@@ -36,6 +50,8 @@
 		badPackets: set.NewCounter("guava_bad_packets_total"),
 		checks:     set.NewCounter("guava_target_checks_total"),
 		sendFailed: set.NewCounter("guava_datagrams_not_sent_total"),
+		opened:     set.NewPrometheusHistogramExt("guava_opening_seconds", openedBuckets),
+		decided:    set.NewPrometheusHistogramExt("guava_decision_seconds", decidedBuckets),
 	}
 	for _, reason := range countedReasons {
 		m.verdicts[reason] = set.NewCounter(`guava_verdicts_total{reason="` + string(reason) + `"}`)
@@ -43,7 +59,31 @@
 	return m
 }
 
-func (m *measures) verdict(v steer.Verdict) { m.verdicts[v.Reason].Inc() }
+// verdict counts a decision.
+func (m *measures) verdict(v steer.Verdict) {
+	m.verdicts[v.Reason].Inc()
+	if v.OpenedAfter > 0 {
+		m.opened.Update(v.OpenedAfter.Seconds())
+	}
+}
+
+// storeCall counts how long a call took, and whether it was answered.
+func (m *measures) storeCall(kind string, outcome objects.Outcome, took time.Duration) {
+	name := `guava_store_call_seconds{kind="` + kind + `",result="` + outcome.Result.String() + `"}`
+	m.set.GetOrCreatePrometheusHistogramExt(name, callBuckets).Update(took.Seconds())
+}
+
+// watchAges serves how old what is known of each kind is.
+func (m *measures) watchAges(e *Edge) {
+	m.set.NewGauge("guava_config_age_seconds", func() float64 { return e.age(&e.configRead) })
+	m.set.NewGauge("guava_targets_age_seconds", func() float64 { return e.age(&e.targetsRead) })
+	m.set.NewGauge("guava_config_version", func() float64 { return float64(e.configVersion()) })
+}
+
+// age is the time since a read in seconds.
+func (e *Edge) age(readAt *atomic.Int64) float64 {
+	return (e.now() - time.Duration(readAt.Load())).Seconds()
+}
 
 // Add counts a call to the store; it implements store.Counters. Names of the
 // metrics' format hold no hyphen.
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -162,6 +162,9 @@
 	}
 	verdict := t.engine.Packet(t.now, &packet)
 	t.edge.metrics.verdict(verdict)
+	if packet.Opening {
+		t.edge.metrics.decided.Update((t.edge.now() - t.now).Seconds())
+	}
 	t.carryOut(verdict, d.Slot.buf[:platform.LabelSize+d.Size])
 	if verdict.Reason != steer.ReasonEstablished {
 		t.edge.logVerdict(verdict, packet.Client, packet.Service, packet.Cookie)
