Offer no late copy of an opening to another target; share the daemons' flags

Found by reading: a copy of an opening that arrived after its flow was open was taken for a new one and offered to a second target, whose answer could give the client another cookie. The test fails without the change.

--- a/cmd/guavad/flags.go
+++ b/cmd/guavad/flags.go
@@ -1,12 +1,6 @@
 package main
 
-import "github.com/integrii/flaggy"
-
-// options are the flags of the command line.
-type options struct {
-	config string
-	check  bool
-}
+import "github.com/guavawharf/guavawharf/internal/process"
 
 const helpExamples = `
 Examples:
@@ -18,19 +12,12 @@
   1  could not start
   2  wrong flags or settings`
 
-// parseFlags ends the process for --help, --version and wrong flags.
-func parseFlags(args []string) options {
-	var parsed options
-	parser := flaggy.NewParser("guavad")
-	parser.Description = "Entry host of the guavawharf layer-4 load balancer."
-	parser.Version = version
-	parser.AdditionalHelpAppend = helpExamples
-	parser.String(&parsed.config, "c", "config", "The settings file (TOML).")
-	parser.Bool(&parsed.check, "", "check", "Check the settings and exit.")
-	// A wrong flag ends the process inside the parser.
-	_ = parser.ParseArgs(args)
-	if parsed.config == "" {
-		parser.ShowHelpAndExit("--config is required")
+// program returns what the command line tells of this daemon.
+func program() process.Program {
+	return process.Program{
+		Name:        "guavad",
+		Description: "Entry host of the guavawharf layer-4 load balancer.",
+		Version:     version,
+		Help:        helpExamples,
 	}
-	return parsed
 }
--- a/cmd/guavad/main.go
+++ b/cmd/guavad/main.go
@@ -24,17 +24,17 @@
 )
 
 func main() {
-	options := parseFlags(os.Args[1:])
+	options := program().ParseFlags(os.Args[1:])
 	os.Exit(run(options))
 }
 
-func run(options options) int {
-	checked, ok := process.ReadSettings("guavad", options.config, settings.Parse)
+func run(options process.Options) int {
+	checked, ok := process.ReadSettings("guavad", options.Config, settings.Parse)
 	if !ok {
 		return exitSettings
 	}
-	if options.check {
-		fmt.Println("settings are valid:", options.config)
+	if options.Check {
+		fmt.Println("settings are valid:", options.Config)
 		return exitOK
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: checked.LogLevel}))
--- a/cmd/guavaedge/flags.go
+++ b/cmd/guavaedge/flags.go
@@ -3,15 +3,9 @@
 import (
 	"os"
 
-	"github.com/integrii/flaggy"
+	"github.com/guavawharf/guavawharf/internal/process"
 )
 
-// options are the flags of the command line.
-type options struct {
-	config string
-	check  bool
-}
-
 // settingsVariable names the settings file where no flag does.
 const settingsVariable = "GUAVAWHARF_SETTINGS"
 
@@ -28,19 +22,13 @@
   1  could not start
   2  wrong flags or settings`
 
-// parseFlags ends the process for --help, --version and wrong flags.
-func parseFlags(args []string) options {
-	parsed := options{config: os.Getenv(settingsVariable)}
-	parser := flaggy.NewParser("guavaedge")
-	parser.Description = "Entry host of guavawharf on a platform that carries cookies in packets."
-	parser.Version = version
-	parser.AdditionalHelpAppend = helpExamples
-	parser.String(&parsed.config, "c", "config", "The settings file (TOML).")
-	parser.Bool(&parsed.check, "", "check", "Check the settings and exit.")
-	// A wrong flag ends the process inside the parser.
-	_ = parser.ParseArgs(args)
-	if parsed.config == "" {
-		parser.ShowHelpAndExit("--config is required")
+// program returns what the command line tells of this daemon.
+func program() process.Program {
+	return process.Program{
+		Name:        "guavaedge",
+		Description: "Entry host of guavawharf on a platform that carries cookies in packets.",
+		Version:     version,
+		Help:        helpExamples,
+		Config:      os.Getenv(settingsVariable),
 	}
-	return parsed
 }
--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -32,17 +32,17 @@
 const logFlushLimit = 200 * time.Millisecond
 
 func main() {
-	options := parseFlags(os.Args[1:])
+	options := program().ParseFlags(os.Args[1:])
 	os.Exit(run(options))
 }
 
-func run(options options) int {
-	checked, ok := readSettings(options.config)
+func run(options process.Options) int {
+	checked, ok := readSettings(options.Config)
 	if !ok {
 		return exitSettings
 	}
-	if options.check {
-		fmt.Println("settings are valid:", options.config)
+	if options.Check {
+		fmt.Println("settings are valid:", options.Config)
 		return exitOK
 	}
 	lines := limitlog.NewWriter(os.Stdout)
@@ -51,13 +51,13 @@
 	level.Set(checked.LogLevel)
 	json := slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level})
 	log := slog.New(limitlog.NewHandler(json, checked.LogRate, time.Now)).With("host", string(checked.Host))
-	log.Info("starting", "version", version, "domain", string(checked.Domain), "settings", options.config)
+	log.Info("starting", "version", version, "domain", string(checked.Domain), "settings", options.Config)
 	host, err := edge.New(checked, log)
 	if err != nil {
 		log.Error("start failed", "error", err.Error())
 		return exitFailed
 	}
-	go reload(options.config, checked, level, log)
+	go reload(options.Config, checked, level, log)
 	host.Run(process.LeaveOnSignal())
 	log.Info("stopped")
 	return exitOK
--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -204,13 +204,14 @@
 // or this host sees the flow for the first time.
 func (e *Engine) opened(now time.Duration, key state.FlowKey, route *catalog.RouteEntry, target *catalog.Target, p *Packet, before *flow) *flow {
 	r := e.records.of(target, now)
+	f := &flow{key: key, idempotent: route.Idempotent, lastSeen: now, record: r, nextSeq: p.Seq, ack: p.Ack}
 	if before != nil {
 		if o := before.opening; o != nil && contains(o.tried, r) {
+			f.openSeq = o.seq
 			e.tookOffer(now, o, r)
 		}
 		e.forget(key)
 	}
-	f := &flow{key: key, idempotent: route.Idempotent, lastSeen: now, record: r, nextSeq: p.Seq, ack: p.Ack}
 	r.open++
 	e.flows[key] = f
 	return f
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -150,6 +150,20 @@
 	require.Empty(t, b.due(time.Second), "an open flow is not offered again")
 }
 
+// A second target's answer would give the client another cookie for an open flow.
+func TestALateCopyOfAnOpeningIsNotOfferedToAnotherTarget(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.caller(feedAddress)
+	verdict := c.open()
+	b.now += 201 * time.Millisecond
+	c.opened(verdict.Target)
+	late := Packet{Opening: true, Seq: c.seq - 1, Ack: 1, Raw: []byte("opening")}
+	require.Equal(t, Verdict{Reason: ReasonAlreadyOpen}, c.send(late))
+	require.Equal(t, verdict.Target.ID, c.request().Target.ID)
+	late.Seq = 777
+	require.Equal(t, ReasonPlaced, c.send(late).Reason, "the client uses its port again")
+}
+
 // The load: openings one after the other while one of three targets is dark.
 func TestAnOpeningIsServedWithin100msOfATargetGoingDark(t *testing.T) {
 	b := newBed(t, order(1, "a"), order(2, "a"), order(3, "b"))
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -17,8 +17,10 @@
 	lastSeen   time.Duration
 
 	opening *opening
-	// record is set once the flow is open.
-	record *record
+	// record is set once the flow is open; openSeq is the sequence number of its
+	// opening, if that was seen here.
+	record  *record
+	openSeq uint32
 
 	// nextSeq is the end of the data seen, ack the newest acknowledgement.
 	nextSeq uint32
--- a/internal/coordination/steer/opening.go
+++ b/internal/coordination/steer/opening.go
@@ -14,6 +14,11 @@
 	if f != nil && f.opening != nil && f.opening.seq == p.Seq {
 		return e.offerAgain(now, f)
 	}
+	if f != nil && f.opening == nil && f.openSeq == p.Seq {
+		// A copy that was on its way when the flow opened: another target must not
+		// answer it.
+		return Verdict{Reason: ReasonAlreadyOpen}
+	}
 	if f != nil {
 		e.forget(key)
 	}
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -54,6 +54,7 @@
 const (
 	ReasonEstablished   Reason = "established"
 	ReasonPlaced        Reason = "placed"
+	ReasonAlreadyOpen   Reason = "already_open"
 	ReasonOfferedAgain  Reason = "offered_again"
 	ReasonNotReady      Reason = "not_ready"
 	ReasonNoRoute       Reason = "no_route"
