Count a poll as a read only if its answer was whole

Found by reading: an answer of 40 changes or more may be a part of what changed, and is followed by a poll at once; yet it already counted as a read of the targets. A host could then take a cookie named in the rest for one of a target that is gone, and reset a flow of a living target. The test fails without the change.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -43,8 +43,8 @@
 	seen map[string]bool
 
 	busy bool
-	// asked is when the call that runs was made; readAt is when the newest current
-	// poll that was answered was made.
+	// asked is when the call that runs was made; readAt is when the newest poll was
+	// made whose answer held all that had changed.
 	asked    time.Duration
 	readAt   time.Duration
 	due      time.Duration
@@ -66,8 +66,8 @@
 // LastGood is when the store was last known to have answered.
 func (f *Follower) LastGood() time.Duration { return f.lastGood }
 
-// ReadAt is when the newest answered poll was asked for: what was written before
-// is known.
+// ReadAt is when the newest poll was asked for whose answer was whole: what was
+// written before is known.
 func (f *Follower) ReadAt() time.Duration { return f.readAt }
 
 // Hurry makes the next poll due soon: at once, but not more often than the least
@@ -162,10 +162,10 @@
 
 func (f *Follower) tookEvents(now time.Duration, page objects.Page) Change {
 	f.revision = max(f.revision, page.Revision)
-	f.readAt = f.asked
-	f.due = now + f.settings.Interval
-	if page.More || len(page.Objects) >= manyChanges {
-		f.due = now
+	f.due = now
+	if !page.More && len(page.Objects) < manyChanges {
+		f.readAt = f.asked
+		f.due = now + f.settings.Interval
 	}
 	return Change{Objects: page.Objects}
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -128,8 +128,10 @@
 	now := testSettings.Interval
 	keys := make([]string, manyChanges)
 	f.Answer(now, next(t, f, now), page(50, false, keys...))
+	require.Zero(t, f.ReadAt(), "the rest of what was written before is not known yet")
 	require.EqualValues(t, 50, next(t, f, now).After)
 	f.Answer(now, objects.Call{Verb: objects.VerbWatch}, page(51, false, keys[1:]...))
+	require.Equal(t, now, f.ReadAt())
 	_, due := f.Next(now)
 	require.False(t, due)
 }
