Split the net/rpc server and caller from what guavad serves

Cause: guavaedge is to serve other hosts over net/rpc as well, and the bounded server and the calls with a deadline were tied to guavad's messages. Change: package netrpc holds both; package rpc keeps the services of guavad. No behaviour changes; the tests of both users pass.

--- a/cmd/guavactl/main.go
+++ b/cmd/guavactl/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/ctl"
-	"github.com/guavawharf/guavawharf/internal/transport/rpc"
+	"github.com/guavawharf/guavawharf/internal/transport/netrpc"
 	"github.com/guavawharf/guavawharf/internal/transport/store"
 )
 
@@ -33,6 +33,6 @@
 	settings := store.Settings{Address: options.PlatformURL, Timeout: options.Timeout}
 	client := store.NewClient(settings, new(expvar.Map))
 	defer client.Close()
-	command := ctl.NewCommand(options, client, rpc.Call, os.Stdout, os.Stderr, time.Now)
+	command := ctl.NewCommand(options, client, netrpc.Call, os.Stdout, os.Stderr, time.Now)
 	return command.Run(ctx)
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -20,7 +20,7 @@
 	"github.com/guavawharf/guavawharf/internal/protocol/rpcapi"
 	"github.com/guavawharf/guavawharf/internal/protocol/settings"
 	"github.com/guavawharf/guavawharf/internal/state"
-	"github.com/guavawharf/guavawharf/internal/transport/rpc"
+	"github.com/guavawharf/guavawharf/internal/transport/netrpc"
 )
 
 // testPort is below the ports that the kernel gives to outgoing connections.
@@ -121,16 +121,16 @@
 	address := r.settings.Host.Control.String()
 	query := rpcapi.Query{Version: rpcapi.Version}
 	var hosts rpcapi.HostsReply
-	require.NoError(t, rpc.Call(ctx, address, rpcapi.MethodHosts, query, &hosts))
+	require.NoError(t, netrpc.Call(ctx, address, rpcapi.MethodHosts, query, &hosts))
 	require.False(t, hosts.Ready)
 	require.NotEmpty(t, hosts.Awaited)
 	require.Len(t, hosts.Rows, 1)
 	require.Equal(t, "alive", hosts.Rows[0].Status)
 	var counters rpcapi.CountersReply
-	require.NoError(t, rpc.Call(ctx, address, rpcapi.MethodCounters, query, &counters))
+	require.NoError(t, netrpc.Call(ctx, address, rpcapi.MethodCounters, query, &counters))
 	require.NotEmpty(t, counters.Rows)
 	query.Version++
-	require.Error(t, rpc.Call(ctx, address, rpcapi.MethodHosts, query, &hosts))
+	require.Error(t, netrpc.Call(ctx, address, rpcapi.MethodHosts, query, &hosts))
 	require.Equal(t, int64(1), r.page(t).Counters["rpc_refused_version"])
 }
 
--- a/internal/transport/rpc/caller.go
+++ b/internal/transport/netrpc/caller.go
@@ -1,4 +1,6 @@
-package rpc
+// Package netrpc holds what every net/rpc interface between processes needs: a
+// server that bounds its connections, and calls that end at a deadline.
+package netrpc
 
 import (
 	"context"
@@ -7,7 +9,7 @@
 	"time"
 )
 
-// Caller makes an operator's calls to one entry host.
+// Caller makes calls to one entry host over one connection.
 type Caller struct {
 	conn   net.Conn
 	client *rpc.Client
--- /dev/null
+++ b/internal/transport/netrpc/server.go
@@ -0,0 +1,162 @@
+package netrpc
+
+import (
+	"cmp"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// ServerSettings bound what the server takes on. Zero fields take the default
+// values.
+type ServerSettings struct {
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// IdleTimeout closes a connection that sends nothing, or does not read.
+	IdleTimeout time.Duration
+	// Refused is called for each connection beyond the bound; nil for no call.
+	Refused func()
+}
+
+// Default values.
+const (
+	DefaultMaxConnections = 4096
+	DefaultIdleTimeout    = 10 * time.Minute
+)
+
+// Service is a receiver of calls with the name that callers know it by.
+type Service struct {
+	Name     string
+	Receiver any
+}
+
+// Server serves net/rpc services over TCP.
+type Server struct {
+	settings ServerSettings
+	rpc      *rpc.Server
+
+	mu       sync.Mutex
+	closed   bool
+	listener net.Listener
+	open     map[net.Conn]struct{}
+}
+
+// NewServer returns a server that does not listen yet. It fails if a service has
+// no method to call.
+func NewServer(settings ServerSettings, services ...Service) (*Server, error) {
+	settings.MaxConnections = cmp.Or(settings.MaxConnections, DefaultMaxConnections)
+	settings.IdleTimeout = cmp.Or(settings.IdleTimeout, DefaultIdleTimeout)
+	if settings.Refused == nil {
+		settings.Refused = func() {}
+	}
+	s := &Server{settings: settings, rpc: rpc.NewServer(), open: make(map[net.Conn]struct{})}
+	for _, service := range services {
+		if err := s.rpc.RegisterName(service.Name, service.Receiver); err != nil {
+			return nil, oops.Code("rpc_service").With("service", service.Name).Wrap(err)
+		}
+	}
+	return s, nil
+}
+
+// Serve accepts connections until Close; it then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return listener.Close()
+	}
+	for {
+		conn, err := listener.Accept()
+		if s.isClosed() {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.accept(conn)
+	}
+}
+
+// acceptPause is the wait after a failed accept, such as for lack of file
+// descriptors.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) accept(conn net.Conn) {
+	if !s.track(conn) {
+		s.settings.Refused()
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		defer s.untrack(conn)
+		s.rpc.ServeConn(&idleConn{Conn: conn, timeout: s.settings.IdleTimeout})
+	}()
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.open) >= s.settings.MaxConnections {
+		return false
+	}
+	s.open[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, conn)
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// Close stops listening and drops all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for conn := range s.open {
+		_ = conn.Close()
+	}
+}
+
+// idleConn closes when nothing arrives for the timeout.
+type idleConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Read reads with the idle timeout.
+func (c *idleConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write writes with the idle timeout, so that a stuck reader does not hold the
+// connection for good.
+func (c *idleConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- a/internal/transport/rpc/rpc_test.go
+++ b/internal/transport/rpc/rpc_test.go
@@ -17,6 +17,7 @@
 	"github.com/guavawharf/guavawharf/internal/coordination/message"
 	"github.com/guavawharf/guavawharf/internal/protocol/rpcapi"
 	"github.com/guavawharf/guavawharf/internal/state"
+	"github.com/guavawharf/guavawharf/internal/transport/netrpc"
 )
 
 type note struct{ Text string }
@@ -177,7 +178,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := startServer(t, ServerSettings{})
 			var ack rpcapi.Ack
-			err := Call(t.Context(), b.host.Control.String(), rpcapi.MethodDeliver, c.envelope, &ack)
+			err := netrpc.Call(t.Context(), b.host.Control.String(), rpcapi.MethodDeliver, c.envelope, &ack)
 			require.NoError(t, err)
 			require.False(t, ack.Accepted)
 			require.Equal(t, c.reason, ack.Reason)
@@ -194,8 +195,8 @@
 	envelope := rpcapi.Envelope{Version: rpcapi.Version, From: from, Message: note{}}
 	var first, second rpcapi.Ack
 	address := b.host.Control.String()
-	require.NoError(t, Call(t.Context(), address, rpcapi.MethodDeliver, envelope, &first))
-	require.NoError(t, Call(t.Context(), address, rpcapi.MethodDeliver, envelope, &second))
+	require.NoError(t, netrpc.Call(t.Context(), address, rpcapi.MethodDeliver, envelope, &first))
+	require.NoError(t, netrpc.Call(t.Context(), address, rpcapi.MethodDeliver, envelope, &second))
 	close(b.gate)
 	require.True(t, first.Accepted)
 	require.Equal(t, rpcapi.Ack{Reason: "busy"}, second)
@@ -214,14 +215,14 @@
 	}
 	var reply rpcapi.HostsReply
 	query := rpcapi.Query{Version: rpcapi.Version}
-	require.NoError(t, Call(t.Context(), b.host.Control.String(), rpcapi.MethodHosts, query, &reply))
+	require.NoError(t, netrpc.Call(t.Context(), b.host.Control.String(), rpcapi.MethodHosts, query, &reply))
 	require.EqualValues(t, "a", reply.Answering)
 }
 
 func TestOperatorVersionIsChecked(t *testing.T) {
 	b := startServer(t, ServerSettings{})
 	for _, method := range []string{rpcapi.MethodHosts, rpcapi.MethodTargets, rpcapi.MethodFlows, rpcapi.MethodCounters} {
-		err := Call(t.Context(), b.host.Control.String(), method, rpcapi.Query{}, nil)
+		err := netrpc.Call(t.Context(), b.host.Control.String(), method, rpcapi.Query{}, nil)
 		require.ErrorContains(t, err, ErrVersion.Error())
 		require.IsType(t, rpc.ServerError(""), err)
 	}
@@ -230,13 +231,13 @@
 
 func TestConnectionsAreBounded(t *testing.T) {
 	b := startServer(t, ServerSettings{MaxConnections: 1})
-	caller, err := Dial(t.Context(), b.host.Control.String())
+	caller, err := netrpc.Dial(t.Context(), b.host.Control.String())
 	require.NoError(t, err)
 	defer func() { _ = caller.Close() }()
 	var reply rpcapi.HostsReply
 	query := rpcapi.Query{Version: rpcapi.Version}
 	require.NoError(t, caller.Call(t.Context(), rpcapi.MethodHosts, query, &reply))
-	require.Error(t, Call(t.Context(), b.host.Control.String(), rpcapi.MethodHosts, query, &reply))
+	require.Error(t, netrpc.Call(t.Context(), b.host.Control.String(), rpcapi.MethodHosts, query, &reply))
 	require.EqualValues(t, 1, count(b.counters, CountRefused+"too_many_connections"))
 }
 
@@ -246,7 +247,7 @@
 	defer func() { _ = silent.Close() }()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	err = Call(ctx, silent.Addr().String(), rpcapi.MethodHosts, rpcapi.Query{}, nil)
+	err = netrpc.Call(ctx, silent.Addr().String(), rpcapi.MethodHosts, rpcapi.Query{}, nil)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
