--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -91,7 +92,7 @@
 		}
 		level.Set(changed.LogLevel)
 		changed.LogLevel = running.LogLevel
-		log.Info("reloaded", "settings", path, "restart_needed", changed != running)
+		log.Info("reloaded", "settings", path, "restart_needed", !reflect.DeepEqual(changed, running))
 	}
 }
 
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -20,7 +20,7 @@
 
 // next returns the call that is due.
 func next(t *testing.T, f *Follower, now time.Duration) objects.Call {
-	call, due := f.Next(now)
+	call, _, due := f.Next(now)
 	require.True(t, due)
 	return call
 }
@@ -44,7 +44,7 @@
 	f := New(testSettings, half)
 	call := next(t, f, 0)
 	require.Equal(t, objects.Call{Verb: objects.VerbList, Key: "targets"}, call)
-	_, due := f.Next(0)
+	_, _, due := f.Next(0)
 	require.False(t, due, "one call at a time")
 
 	change := f.Answer(0, call, page(7, true, "t1", "t2"))
@@ -101,7 +101,7 @@
 	call = next(t, f, 0)
 	require.Equal(t, objects.Call{Verb: objects.VerbList, Key: "targets"}, call)
 	f.Answer(0, call, page(12, false, "t1", "t2"))
-	_, due := f.Next(0)
+	_, _, due := f.Next(0)
 	require.False(t, due)
 }
 
@@ -132,7 +132,7 @@
 	require.EqualValues(t, 50, next(t, f, now).After)
 	f.Answer(now, objects.Call{Verb: objects.VerbWatch}, page(51, false, keys[1:]...))
 	require.Equal(t, now, f.ReadAt())
-	_, due := f.Next(now)
+	_, _, due := f.Next(now)
 	require.False(t, due)
 }
 
@@ -170,3 +170,189 @@
 		}
 	}
 }
+
+// withPeers returns a follower that has read the store at a time and has another
+// host to ask.
+func withPeers(t *testing.T, now time.Duration) *Follower {
+	settings := testSettings
+	settings.ServingInterval = 1000 * time.Millisecond
+	settings.PeerInterval = 1600 * time.Millisecond
+	f := New(settings, half)
+	f.SetPeers(now, true, false)
+	f.Answer(now, next(t, f, now), page(7, false, "t1"))
+	return f
+}
+
+// source returns whom the call goes to that is due.
+func source(t *testing.T, f *Follower, now time.Duration) Source {
+	_, source, due := f.Next(now)
+	require.True(t, due)
+	return source
+}
+
+var poll = objects.Call{Verb: objects.VerbWatch, Key: "targets", After: 7}
+
+func TestAnotherHostIsAskedBeforeTheStore(t *testing.T) {
+	f := withPeers(t, 0)
+	now, _ := f.Due()
+	require.Equal(t, f.settings.PeerInterval, now)
+	require.Equal(t, SourcePeer, source(t, f, now))
+	change, behind := f.PeerAnswer(now, poll, page(9, false, "t2"), 400*time.Millisecond)
+	require.False(t, behind)
+	require.Len(t, change.Objects, 1)
+	require.Equal(t, now-400*time.Millisecond, f.ReadAt(), "as old as what the other host read")
+	due, _ := f.Due()
+	require.Equal(t, f.ReadAt()+f.settings.PeerInterval, due)
+}
+
+func TestTheStoreIsAskedAtOnceIfTheOtherHostIsOfNoUse(t *testing.T) {
+	for name, answer := range map[string]struct {
+		outcome objects.Outcome
+		age     time.Duration
+	}{
+		"silent":  {outcome: objects.Outcome{Result: objects.ResultUnknown}},
+		"too old": {outcome: page(9, false, "t2"), age: 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := withPeers(t, 0)
+			now, _ := f.Due()
+			require.Equal(t, SourcePeer, source(t, f, now))
+			_, behind := f.PeerAnswer(now, poll, answer.outcome, answer.age)
+			require.True(t, behind)
+			require.Equal(t, SourceStore, source(t, f, now))
+			f.Answer(now, poll, page(10, false))
+			require.Equal(t, now, f.ReadAt())
+			later, _ := f.Due()
+			require.Equal(t, SourcePeer, source(t, f, later), "a new cycle")
+		})
+	}
+}
+
+// The store turns the host away and serves the others: it is kept current by one of
+// them, and sees by its own calls when the store is back.
+func TestAHostThatTheStoreTurnsAwayIsKeptCurrent(t *testing.T) {
+	f := withPeers(t, 0)
+	f.Hurry(f.settings.PeerInterval)
+	now := f.settings.PeerInterval
+	for range 20 {
+		require.Equal(t, SourceStore, source(t, f, now))
+		require.True(t, f.Answer(now, poll, objects.Outcome{Result: objects.ResultRefused}).Failed)
+		require.Equal(t, SourcePeer, source(t, f, now), "at once")
+		_, behind := f.PeerAnswer(now, poll, page(9, false), 300*time.Millisecond)
+		require.False(t, behind)
+		require.Less(t, now-f.ReadAt(), 3*time.Second)
+		now, _ = f.Due()
+	}
+	require.Equal(t, SourceStore, source(t, f, now))
+	f.Answer(now, poll, page(12, false))
+	now, _ = f.Due()
+	require.Equal(t, SourcePeer, source(t, f, now))
+}
+
+// While the store is away for all, every cycle of calls ends with a pause.
+func TestWithStoreAndHostsAwayThereIsAPause(t *testing.T) {
+	f := withPeers(t, 0)
+	now, _ := f.Due()
+	for range 20 {
+		began := now
+		for range 2 {
+			if source(t, f, now) == SourceStore {
+				f.Answer(now, poll, objects.Outcome{Result: objects.ResultUnknown})
+			} else {
+				f.PeerAnswer(now, poll, page(9, false), time.Minute)
+			}
+			due, _ := f.Due()
+			now = max(now, due)
+		}
+		require.Greater(t, now, began)
+		require.LessOrEqual(t, now-began, testSettings.RetryMax)
+	}
+}
+
+// A host that starts while the store is away learns all from another.
+func TestAListComesFromAnotherHostWhileTheStoreIsAway(t *testing.T) {
+	f := New(testSettings, half)
+	f.SetPeers(0, true, false)
+	list := objects.Call{Verb: objects.VerbList, Key: "targets"}
+	require.Equal(t, SourceStore, source(t, f, 0))
+	f.Answer(0, list, objects.Outcome{Result: objects.ResultUnknown})
+	require.Equal(t, SourcePeer, source(t, f, 0))
+	change, _ := f.PeerAnswer(0, list, page(9, false, "t1"), time.Minute)
+	require.True(t, f.Listed())
+	require.Equal(t, map[string]bool{"t1": true}, change.Listed)
+	require.Zero(t, f.ReadAt(), "what changed meanwhile is not known")
+	require.Equal(t, SourceStore, source(t, f, 0))
+}
+
+// A list that replaces a lost history may not go back behind what is known.
+func TestALaterListComesFromTheStore(t *testing.T) {
+	f := withPeers(t, 0)
+	now, _ := f.Due()
+	source(t, f, now)
+	f.PeerAnswer(now, poll, objects.Outcome{Result: objects.ResultUnknown}, 0)
+	source(t, f, now)
+	f.Answer(now, poll, objects.Outcome{Result: objects.ResultExpired})
+	for range 5 {
+		require.Equal(t, SourceStore, source(t, f, now))
+		f.Answer(now, objects.Call{Verb: objects.VerbList}, objects.Outcome{Result: objects.ResultUnknown})
+		now, _ = f.Due()
+	}
+}
+
+// A host that others ask reads the store itself, soon after the first question.
+func TestAHostThatOthersAskReadsTheStore(t *testing.T) {
+	f := withPeers(t, 0)
+	f.SetPeers(1200*time.Millisecond, true, true)
+	now, _ := f.Due()
+	require.Equal(t, 1200*time.Millisecond, now)
+	require.Equal(t, SourceStore, source(t, f, now))
+	f.Answer(now, poll, page(9, false))
+	again, _ := f.Due()
+	require.Equal(t, now+f.settings.ServingInterval, again)
+	require.Equal(t, SourceStore, source(t, f, again))
+}
+
+func TestAPollThatIsNotDueCanGoAlong(t *testing.T) {
+	f := withPeers(t, 0)
+	call, ok := f.Along(800 * time.Millisecond)
+	require.True(t, ok)
+	require.Equal(t, poll, call)
+	_, ok = f.Along(800 * time.Millisecond)
+	require.False(t, ok, "one call at a time")
+	f.PeerAnswer(810*time.Millisecond, call, page(9, false), 0)
+	require.Equal(t, 800*time.Millisecond, f.ReadAt())
+	f.SetPeers(900*time.Millisecond, true, true)
+	_, ok = f.Along(2 * time.Second)
+	require.False(t, ok, "a host that others ask reads the store")
+}
+
+// A change is known within the bound when the other host had just missed it, then
+// falls silent, and the store's answer is lost.
+func TestAChangeIsKnownWithinItsBoundThroughAnotherHost(t *testing.T) {
+	const (
+		bound        = 3 * time.Second
+		peerTimeout  = bound * 5 / 100
+		storeTimeout = bound * 20 / 100
+	)
+	settings := testSettings
+	settings.ServingInterval = bound * 35 / 100
+	settings.PeerInterval = bound * 55 / 100
+	f := New(settings, func() float64 { return 0.999 })
+	f.SetPeers(0, true, false)
+	f.Answer(0, next(t, f, 0), page(7, false, "t1"))
+	now, _ := f.Due()
+	require.Equal(t, SourcePeer, source(t, f, now))
+	f.PeerAnswer(now, poll, page(8, false), settings.ServingInterval)
+	readAt := f.ReadAt()
+	now, _ = f.Due()
+	require.Equal(t, SourcePeer, source(t, f, now))
+	now += peerTimeout
+	f.PeerAnswer(now, poll, objects.Outcome{Result: objects.ResultUnknown}, 0)
+	require.Equal(t, SourceStore, source(t, f, now))
+	now += storeTimeout
+	f.SetPeers(now, false, false)
+	f.Answer(now, poll, objects.Outcome{Result: objects.ResultUnknown})
+	now, _ = f.Due()
+	require.Equal(t, SourceStore, source(t, f, now))
+	require.Less(t, now-readAt, bound-storeTimeout/2)
+}
--- /dev/null
+++ b/internal/coordination/peers/askers.go
@@ -0,0 +1,60 @@
+package peers
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// maxAskers is the number of hosts that one host answers before it names others in
+// its place. With a bound of 16 s on changes its answers then take some 3 KB/s.
+const maxAskers = 24
+
+// Askers remembers which hosts asked this one lately. It is not safe for concurrent
+// use. Times are counted from the start of the process.
+type Askers struct {
+	// forget is the time without a question after which a host counts no more.
+	forget time.Duration
+	// asked holds the hosts in the order of their first question.
+	asked []asker
+}
+
+// asker is a host with the time of its newest question.
+type asker struct {
+	host netip.AddrPort
+	last time.Duration
+}
+
+// NewAskers returns an empty memory that forgets hosts after a time without a
+// question.
+func NewAskers(forget time.Duration) *Askers { return &Askers{forget: forget} }
+
+// Note takes a host's question and returns the host to ask in place of this one,
+// the zero address for none. That is one that has asked for longer; each takes as
+// many hosts as this one before the next is named, so that few read the store.
+func (a *Askers) Note(now time.Duration, host netip.AddrPort) (instead netip.AddrPort) {
+	a.expire(now)
+	at := slices.IndexFunc(a.asked, func(known asker) bool { return known.host == host })
+	if at < 0 {
+		at = len(a.asked)
+		a.asked = append(a.asked, asker{host: host})
+	}
+	a.asked[at].last = now
+	if at < maxAskers {
+		return netip.AddrPort{}
+	}
+	return a.asked[(at/maxAskers-1)%maxAskers].host
+}
+
+// Serving tells whether any host asked lately.
+func (a *Askers) Serving(now time.Duration) bool { return a.Count(now) > 0 }
+
+// Count is the number of hosts that asked lately.
+func (a *Askers) Count(now time.Duration) int {
+	a.expire(now)
+	return len(a.asked)
+}
+
+func (a *Askers) expire(now time.Duration) {
+	a.asked = slices.DeleteFunc(a.asked, func(known asker) bool { return now-known.last > a.forget })
+}
--- /dev/null
+++ b/internal/coordination/peers/peers_test.go
@@ -0,0 +1,160 @@
+package peers
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func host(number int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.1.%d.%d:8166", number/250, number%250+1))
+}
+
+var seeds = []netip.AddrPort{host(1), host(2), host(3)}
+
+func half() float64 { return 0.5 }
+
+// pick returns the host to ask, the zero address for none.
+func pick(c *Chooser, now time.Duration, storeAway bool) netip.AddrPort {
+	picked, _ := c.Pick(now, storeAway)
+	return picked
+}
+
+func TestSeedsAskOnlySeedsAheadOfThem(t *testing.T) {
+	require.Equal(t, host(1), pick(NewChooser(host(9), seeds, half), 0, false))
+	require.Equal(t, host(1), pick(NewChooser(host(2), seeds, half), 0, false))
+	first := NewChooser(host(1), seeds, half)
+	_, found := first.Pick(0, false)
+	require.False(t, found, "the first seed reads the store")
+	require.Equal(t, host(2), pick(first, 0, true), "unless that is away")
+}
+
+func TestWithoutSeedsThereIsNobodyToAsk(t *testing.T) {
+	_, found := NewChooser(host(9), nil, half).Pick(0, true)
+	require.False(t, found)
+}
+
+func TestAHostOfNoUseIsHeldBackLongerEachTime(t *testing.T) {
+	c := NewChooser(host(9), seeds, half)
+	now := time.Duration(0)
+	before := time.Duration(0)
+	for range 10 {
+		c.Useless(now, host(1))
+		require.Equal(t, host(2), pick(c, now, false))
+		held := c.held[host(1)].until - now
+		require.GreaterOrEqual(t, held, before)
+		require.LessOrEqual(t, held, holdBackMax)
+		before = held
+		now += held
+		require.Equal(t, host(1), pick(c, now, false))
+	}
+	c.Useful(now, host(1), netip.AddrPort{})
+	c.Useless(now, host(1))
+	require.Equal(t, holdBackMin, c.held[host(1)].until-now, "it was of use in between")
+}
+
+// A host that was not asked for a while knows less; asking makes it read the store.
+func TestAHostMayBeStaleAFewTimes(t *testing.T) {
+	c := NewChooser(host(9), seeds, half)
+	for range maxStale - 1 {
+		c.Stale(0, host(1))
+		require.Equal(t, host(1), pick(c, 0, false))
+	}
+	c.Useful(0, host(1), netip.AddrPort{})
+	for range maxStale {
+		require.Equal(t, host(1), pick(c, 0, false))
+		c.Stale(0, host(1))
+	}
+	require.Equal(t, host(2), pick(c, 0, false))
+}
+
+func TestAHostNamedInsteadIsAskedUntilItFails(t *testing.T) {
+	c := NewChooser(host(9), seeds, half)
+	c.Useful(0, host(1), host(40))
+	require.Equal(t, host(40), pick(c, 0, false))
+	c.Useless(0, host(40))
+	require.Equal(t, host(1), pick(c, 0, false))
+	c.Useful(0, host(1), host(41))
+	require.Equal(t, host(1), pick(c, insteadFor, false), "groups are joined again in the end")
+	c.Useful(0, host(1), host(9))
+	require.Equal(t, host(41), pick(c, 0, false), "it does not ask itself")
+}
+
+func TestHostsThatAskNoMoreAreForgotten(t *testing.T) {
+	a := NewAskers(3 * time.Second)
+	require.False(t, a.Serving(0))
+	a.Note(0, host(1))
+	require.True(t, a.Serving(3*time.Second))
+	require.False(t, a.Serving(3*time.Second+1))
+}
+
+// fleet plays hosts that all started at once: each asks whom it picks each second.
+type fleet struct {
+	choosers []*Chooser
+	askers   map[netip.AddrPort]*Askers
+	dead     map[netip.AddrPort]bool
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{askers: make(map[netip.AddrPort]*Askers), dead: make(map[netip.AddrPort]bool)}
+	for i := 1; i <= size; i++ {
+		f.choosers = append(f.choosers, NewChooser(host(i), seeds, half))
+		f.askers[host(i)] = NewAskers(3 * time.Second)
+	}
+	return f
+}
+
+// second plays one second and returns the hosts that read the store.
+func (f *fleet) second(now time.Duration) (readers int) {
+	for _, c := range f.choosers {
+		if f.dead[c.self] {
+			continue
+		}
+		asked, found := c.Pick(now, false)
+		switch {
+		case !found || f.askers[c.self].Serving(now):
+			readers++
+		case f.dead[asked]:
+			c.Useless(now, asked)
+			readers++
+		default:
+			c.Useful(now, asked, f.askers[asked].Note(now, c.self))
+		}
+	}
+	return readers
+}
+
+// The load that this answers: every host reading the store for itself, 300 hosts
+// two times in two seconds each.
+func TestFewHostsReadTheStore(t *testing.T) {
+	for _, size := range []int{6, 91, 300, 5200} {
+		f := newFleet(size)
+		readers := 0
+		for second := range 180 {
+			readers = f.second(time.Duration(second) * time.Second)
+			if second < 10 {
+				continue
+			}
+			require.LessOrEqual(t, readers, 2+2*size/maxAskers, "%d hosts, second %d", size, second)
+		}
+		for address, askers := range f.askers {
+			require.LessOrEqual(t, askers.Count(180*time.Second), maxAskers, "%s of %d hosts", address, size)
+		}
+		t.Logf("%d hosts: %d read the store", size, readers)
+	}
+}
+
+// When the seeds are gone, hosts go on with those that they know or read on their
+// own; none is left without.
+func TestWithDeadSeedsHostsReadForThemselves(t *testing.T) {
+	f := newFleet(50)
+	for _, seed := range seeds {
+		f.dead[seed] = true
+	}
+	for second := range 60 {
+		require.Equal(t, 47, f.second(time.Duration(second)*time.Second))
+	}
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -4,14 +4,18 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/samber/oops"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/follow"
+	"github.com/guavawharf/guavawharf/internal/coordination/peers"
+	"github.com/guavawharf/guavawharf/internal/protocol/peerapi"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/guavawharf/guavawharf/internal/transport/peerlink"
 	"github.com/guavawharf/guavawharf/internal/transport/store"
 	"github.com/guavawharf/guavawharf/platform"
 )
@@ -21,6 +25,13 @@
 const (
 	intervalShare = 0.65
 	timeoutShare  = 0.2
+	// peerAgeShare is the age of what is known at which another host is asked, and
+	// peerTimeoutShare the time it gets: a call to the store fits in after it.
+	peerAgeShare     = 0.55
+	peerTimeoutShare = 0.05
+	// servingShare is the interval of a host that others ask; what it tells is then
+	// young enough to ask again only after a while.
+	servingShare = 0.35
 )
 
 // Limits of the calls to the store.
@@ -49,6 +60,9 @@
 type control struct {
 	edge      *Edge
 	client    *store.Client
+	reads     *reads
+	peers     *peerlink.Client
+	chooser   *peers.Chooser
 	pool      *ants.Pool
 	directory *catalog.Directory
 	followers []*followed
@@ -57,13 +71,17 @@
 	targets *follow.Follower
 	answers chan answer
 	// hurry asks for a read of the targets now.
-	hurry  chan struct{}
+	hurry chan struct{}
+	// asked tells that another host asked this one for the first time in a while.
+	asked  chan struct{}
 	ctx    context.Context
 	cancel context.CancelFunc
 	// rebuildAt is when the view changes by time alone, 0 for never.
 	rebuildAt time.Duration
 	// wasReady tells that a view that can serve was published.
 	wasReady bool
+	// lastPeer is the host whose answer was of use last.
+	lastPeer netip.AddrPort
 	// storeLost tells that the store's loss was logged.
 	storeLost bool
 }
@@ -75,11 +93,25 @@
 	apply    func(now time.Duration, change follow.Change) (changed bool)
 }
 
+// question is a call of a follower.
+type question struct {
+	of   *followed
+	call objects.Call
+}
+
 // answer is the outcome of a call.
 type answer struct {
-	of      *followed
-	call    objects.Call
+	question
+	// asked is when the call was made, by bootTime.
+	asked   time.Duration
 	outcome objects.Outcome
+	// peer is the host that was asked, the zero address for the store. Instead is the
+	// host that it named to be asked in its place, told what it answered, and err why
+	// it did not.
+	peer    netip.AddrPort
+	instead netip.AddrPort
+	told    peerapi.Answer
+	err     error
 }
 
 func newControl(e *Edge) (*control, error) {
@@ -87,13 +119,22 @@
 	if err != nil {
 		return nil, oops.Code("call_pool").Wrap(err)
 	}
+	reads, err := openReads(e, platform.KindConfig, platform.KindTargets)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
+	bound := min(e.settings.ChangeBound, e.settings.DrainBound)
 	c := &control{
+		reads:   reads,
+		peers:   peerlink.NewClient(share(bound, peerTimeoutShare)),
+		chooser: peers.NewChooser(e.settings.Control, e.settings.Seeds, rand.Float64),
 		edge:    e,
 		client:  store.NewClient(storeSettings(e), e.metrics),
 		pool:    pool,
 		answers: make(chan answer, storeCalls),
 		hurry:   make(chan struct{}, 1),
+		asked:   make(chan struct{}, 1),
 		ctx:     ctx,
 		cancel:  cancel,
 		directory: catalog.NewDirectory(catalog.Settings{
@@ -130,6 +171,8 @@
 // follow adds a follower whose changes have to be known within a bound.
 func (c *control) follow(settings follow.Settings, bound time.Duration, apply func(time.Duration, follow.Change) bool) *follow.Follower {
 	settings.Interval = share(bound, intervalShare)
+	settings.ServingInterval = share(bound, servingShare)
+	settings.PeerInterval = share(bound, peerAgeShare)
 	settings.HurryInterval = hurryInterval
 	settings.RetryMin = retryMin
 	settings.RetryMax = retryMax
@@ -139,9 +182,12 @@
 }
 
 // hurryTargets asks for a read of the targets now; it never waits.
-func (c *control) hurryTargets() {
+func (c *control) hurryTargets() { signal(c.hurry) }
+
+// signal wakes a receiver; it never waits, since one signal is enough.
+func signal(to chan<- struct{}) {
 	select {
-	case c.hurry <- struct{}{}:
+	case to <- struct{}{}:
 	default:
 	}
 }
@@ -157,6 +203,7 @@
 			c.take(a)
 		case <-c.hurry:
 			c.targets.Hurry(c.edge.now())
+		case <-c.asked:
 		case <-timer.C:
 		}
 		now := c.edge.now()
@@ -170,22 +217,53 @@
 
 // callDue starts the calls that are due.
 func (c *control) callDue(now time.Duration) {
+	serving := c.reads.serving(now)
 	for _, f := range c.followers {
-		call, due := f.follower.Next(now)
-		if !due {
-			continue
+		peer, found := c.chooser.Pick(now, f.follower.Failing())
+		f.follower.SetPeers(now, found, serving)
+		call, source, due := f.follower.Next(now)
+		switch {
+		case !due:
+		case source == follow.SourcePeer:
+			questions := c.along(now, question{of: f, call: call})
+			c.submit(now, questions, func() { c.askPeer(peer, questions) })
+		default:
+			asked := question{of: f, call: call}
+			c.submit(now, []question{asked}, func() { c.askStore(asked) })
 		}
-		err := c.pool.Submit(func() {
-			began := time.Now()
-			outcome := c.client.Do(c.ctx, call)
-			c.edge.metrics.storeCall(f.kind, outcome, time.Since(began))
-			c.answers <- answer{of: f, call: call, outcome: outcome}
-		})
-		if err != nil {
-			c.edge.log.Error("store call not started", "kind", f.kind, "error", err.Error())
-			f.follower.Answer(now, call, objects.Outcome{Result: objects.ResultRefused})
+	}
+}
+
+// along adds the polls of other kinds that can go to the same host.
+func (c *control) along(now time.Duration, due question) []question {
+	questions := []question{due}
+	for _, f := range c.followers {
+		if call, ok := f.follower.Along(now); ok {
+			questions = append(questions, question{of: f, call: call})
 		}
 	}
+	return questions
+}
+
+// submit runs a call; one that can't be started counts as refused by the store.
+func (c *control) submit(now time.Duration, questions []question, call func()) {
+	err := c.pool.Submit(call)
+	if err == nil {
+		return
+	}
+	c.edge.log.Error("call not started", "kind", questions[0].of.kind, "error", err.Error())
+	for _, asked := range questions {
+		asked.of.follower.Answer(now, asked.call, objects.Outcome{Result: objects.ResultRefused})
+	}
+}
+
+// askStore makes a call to the store.
+func (c *control) askStore(asked question) {
+	a := answer{question: asked, asked: bootTime()}
+	began := time.Now()
+	a.outcome = c.client.Do(c.ctx, asked.call)
+	c.edge.metrics.storeCall(asked.of.kind, a.outcome, time.Since(began))
+	c.answers <- a
 }
 
 func (c *control) nextWake(now time.Duration) time.Duration {
@@ -204,11 +282,30 @@
 // take hands the answer of a call to its follower and puts changes in force.
 func (c *control) take(a answer) {
 	now := c.edge.now()
+	if a.peer.IsValid() {
+		c.takePeer(now, a)
+		return
+	}
 	change := a.of.follower.Answer(now, a.call, a.outcome)
 	c.noteStore(now, a, change)
+	c.apply(now, a, change)
+}
+
+// apply puts what a call brought in force, and tells other hosts of it.
+func (c *control) apply(now time.Duration, a answer, change follow.Change) {
+	known := c.reads.replicas[a.of.kind]
+	revision := a.outcome.Page.Revision
+	change.Objects = known.Put(change.Objects, revision)
+	if change.Listed != nil {
+		known.Keep(change.Listed, revision)
+	}
 	if a.of.apply(now, change) {
 		c.publish(now)
 	}
+	if change.Whole {
+		known.Whole(a.of.follower.Revision(), a.asked-a.told.Age)
+	}
+	c.reads.doubtUntil.Store(int64(c.directory.DoubtUntil()))
 	// After the view that holds what was read.
 	c.edge.configRead.Store(int64(c.config.ReadAt()))
 	c.edge.targetsRead.Store(int64(c.targets.ReadAt()))
@@ -307,4 +404,6 @@
 		c.edge.log.Warn("store calls still run", "error", err.Error())
 	}
 	c.client.Close()
+	c.peers.Close()
+	c.reads.close()
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,6 +77,7 @@
 // Run serves until a graceful shutdown asked for by leave has ended.
 func (e *Edge) Run(leave <-chan struct{}) {
 	go e.control.run()
+	go e.control.reads.run()
 	go e.pages.run()
 	stopped := make(chan struct{})
 	go func() {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -31,6 +31,7 @@
 // bed is a platform with one host of the product.
 type bed struct {
 	t       *testing.T
+	network *platformtest.Loopback
 	store   *platformtest.Store
 	server  *httptest.Server
 	client  *platformtest.Client
@@ -38,6 +39,7 @@
 	ready   netip.AddrPort
 	metrics netip.AddrPort
 	logs    *logBuffer
+	seeds   []netip.AddrPort
 	leave   chan struct{}
 	stopped chan struct{}
 }
@@ -70,6 +72,7 @@
 	packetsPort = 7000
 	readyPort   = 7001
 	metricsPort = 7002
+	controlPort = 7003
 )
 
 // newBed starts a store and a client, no host yet.
@@ -79,7 +82,7 @@
 	require.NoError(t, err)
 	group := byte(beds.Add(1))
 	b := &bed{
-		t: t, store: platformtest.NewStore(), logs: new(logBuffer),
+		t: t, network: network, store: platformtest.NewStore(), logs: new(logBuffer),
 		host:    network.Address(group, 1, packetsPort),
 		ready:   network.Address(group, 1, readyPort),
 		metrics: network.Address(group, 1, metricsPort),
@@ -108,13 +111,20 @@
 	return target
 }
 
-// start runs the host until the end of the test or stop.
-func (b *bed) start() {
-	host, err := New(edgesettings.Settings{
+// settings are those of the bed's host.
+func (b *bed) settings() edgesettings.Settings {
+	return edgesettings.Settings{
 		Host: "edge-a-1", Domain: "a", Packets: b.host, Ready: b.ready, Metrics: b.metrics,
+		Control:     netip.AddrPortFrom(b.host.Addr(), controlPort),
+		Seeds:       b.seeds,
 		Store:       netip.MustParseAddrPort(strings.TrimPrefix(b.server.URL, "http://")),
 		ChangeBound: time.Second, DrainBound: time.Second, LeaveDeadline: 3 * time.Second, MaxFlowAge: time.Minute,
-	}, slog.New(slog.NewTextHandler(b.logs, nil)))
+	}
+}
+
+// start runs the host until the end of the test or stop.
+func (b *bed) start() {
+	host, err := New(b.settings(), slog.New(slog.NewTextHandler(b.logs, nil)))
 	require.NoError(b.t, err)
 	leave, stopped := make(chan struct{}, 1), make(chan struct{})
 	b.leave, b.stopped = leave, stopped
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -73,10 +73,23 @@
 	m.set.GetOrCreatePrometheusHistogramExt(name, callBuckets).Update(took.Seconds())
 }
 
+// peerCall counts how long a question to another host took, and whether an answer
+// came.
+func (m *measures) peerCall(err error, took time.Duration) {
+	name := `guava_peer_call_seconds{answered="` + strconv.FormatBool(err == nil) + `"}`
+	m.set.GetOrCreatePrometheusHistogramExt(name, callBuckets).Update(took.Seconds())
+}
+
+// question counts a question of another host.
+func (m *measures) question(answered bool) {
+	m.set.GetOrCreateCounter(`guava_peer_questions_total{answered="` + strconv.FormatBool(answered) + `"}`).Inc()
+}
+
 // watchAges serves how old what is known of each kind is.
 func (m *measures) watchAges(e *Edge) {
 	m.set.NewGauge("guava_config_age_seconds", func() float64 { return e.age(&e.configRead) })
 	m.set.NewGauge("guava_targets_age_seconds", func() float64 { return e.age(&e.targetsRead) })
+	m.set.NewGauge("guava_peers_asking", func() float64 { return float64(e.control.reads.askersCount()) })
 	m.set.NewGauge("guava_config_version", func() float64 { return float64(e.configVersion()) })
 }
 
--- /dev/null
+++ b/internal/edge/peers.go
@@ -0,0 +1,214 @@
+package edge
+
+import (
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/peers"
+	"github.com/guavawharf/guavawharf/internal/protocol/peerapi"
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/guavawharf/guavawharf/internal/state/replica"
+	"github.com/guavawharf/guavawharf/internal/transport/peerlink"
+)
+
+// reads answers other hosts what this one has read from the store.
+type reads struct {
+	edge     *Edge
+	server   *peerlink.Server
+	replicas map[string]*replica.Replica
+	// doubtUntil is when a missing entry means again that its target is gone, in
+	// nanoseconds from start.
+	doubtUntil atomic.Int64
+
+	mu     sync.Mutex
+	askers *peers.Askers
+}
+
+// openReads opens the address that other hosts ask at. Hosts that ask do so more
+// often than once in the time within which changes take effect.
+func openReads(e *Edge, kinds ...string) (*reads, error) {
+	r := &reads{
+		edge:     e,
+		replicas: make(map[string]*replica.Replica),
+		askers:   peers.NewAskers(max(e.settings.ChangeBound, e.settings.DrainBound)),
+	}
+	for _, kind := range kinds {
+		r.replicas[kind] = replica.New()
+	}
+	var err error
+	r.server, err = peerlink.Listen(e.settings.Control, r)
+	return r, err
+}
+
+// run answers until close.
+func (r *reads) run() {
+	if err := r.server.Serve(); err != nil {
+		r.edge.log.Error("other hosts not answered", "error", err.Error())
+	}
+}
+
+// Read implements peerlink.Reader.
+func (r *reads) Read(query peerapi.Query) peerapi.Reply {
+	if r.edge.leaving.Load() {
+		return peerapi.Reply{}
+	}
+	now := r.edge.now()
+	reply := peerapi.Reply{Instead: r.note(now, query.From)}
+	for _, read := range query.Reads {
+		reply.Answers = append(reply.Answers, r.answer(now, read))
+	}
+	return reply
+}
+
+// answer tells what is known of a kind.
+func (r *reads) answer(now time.Duration, read peerapi.Read) peerapi.Answer {
+	known := r.replicas[read.Kind]
+	if known == nil {
+		return peerapi.Answer{}
+	}
+	var answer replica.Answer
+	if read.List {
+		answer = known.List(read.Key, bootTime())
+	} else {
+		answer = known.Since(read.After, bootTime())
+	}
+	r.edge.metrics.question(answer.Known)
+	return peerapi.Answer{
+		Known: answer.Known,
+		Age:   answer.Age,
+		Page:  answer.Page,
+		Doubt: max(0, time.Duration(r.doubtUntil.Load())-now),
+	}
+}
+
+// note remembers that a host asked and returns the host that it is to ask instead.
+func (r *reads) note(now time.Duration, host netip.AddrPort) netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.askers.Serving(now) {
+		signal(r.edge.control.asked)
+	}
+	return r.askers.Note(now, host)
+}
+
+// serving tells whether other hosts asked lately.
+func (r *reads) serving(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.askers.Serving(now)
+}
+
+// askersCount is the number of hosts that asked lately.
+func (r *reads) askersCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.askers.Count(r.edge.now())
+}
+
+// close ends the answers.
+func (r *reads) close() { r.server.Close() }
+
+// bootTime is the time since the machine's start, its suspensions included: what was
+// read before a suspension is older than the process's own clock tells.
+func bootTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// Every Linux that Go runs on has this clock.
+		panic(err)
+	}
+	return time.Duration(now.Nano())
+}
+
+// askPeer asks another host what calls read.
+func (c *control) askPeer(peer netip.AddrPort, questions []question) {
+	query := peerapi.Query{Version: peerapi.Version, From: c.edge.settings.Control}
+	for _, asked := range questions {
+		query.Reads = append(query.Reads, readOf(asked))
+	}
+	asked := bootTime()
+	began := time.Now()
+	reply, err := c.peers.Read(c.ctx, peer, query)
+	c.edge.metrics.peerCall(err, time.Since(began))
+	for i, of := range questions {
+		a := answer{question: of, asked: asked, peer: peer, instead: reply.Instead, err: err}
+		if len(reply.Answers) == len(questions) {
+			a.told = reply.Answers[i]
+		}
+		a.outcome = told(a)
+		c.answers <- a
+	}
+}
+
+// readOf writes a question the way other hosts are asked.
+func readOf(q question) peerapi.Read {
+	return peerapi.Read{
+		Kind:  q.of.kind,
+		List:  q.call.Verb == objects.VerbList,
+		Key:   strings.TrimPrefix(q.call.From, q.of.kind+"/"),
+		After: q.call.After,
+	}
+}
+
+// told is the outcome that another host's answer stands for.
+func told(a answer) objects.Outcome {
+	switch {
+	case a.err != nil:
+		return objects.Outcome{Result: objects.ResultUnknown}
+	case !a.told.Known:
+		return objects.Outcome{Result: objects.ResultAbsent}
+	}
+	return objects.Outcome{Page: a.told.Page}
+}
+
+// takePeer hands another host's answer to its follower and puts changes in force.
+func (c *control) takePeer(now time.Duration, a answer) {
+	change, behind := a.of.follower.PeerAnswer(now, a.call, a.outcome, a.told.Age)
+	c.notePeer(now, a, behind)
+	// Before what it brought: missing entries may have lapsed.
+	c.directory.Doubt(now + a.told.Doubt)
+	c.apply(now, a, change)
+}
+
+// notePeer remembers whether another host was of use, and logs when that changes.
+func (c *control) notePeer(now time.Duration, a answer, behind bool) {
+	switch {
+	case !behind:
+		c.usePeer(now, a)
+	case a.outcome.Result == objects.ResultOK:
+		c.chooser.Stale(now, a.peer)
+		c.losePeer(a, "what it told is too old")
+	case a.err != nil:
+		c.chooser.Useless(now, a.peer)
+		c.losePeer(a, a.err.Error())
+	default:
+		c.chooser.Useless(now, a.peer)
+		c.losePeer(a, "it can't tell")
+	}
+}
+
+// usePeer goes on with another host, or with the one that it named.
+func (c *control) usePeer(now time.Duration, a answer) {
+	c.chooser.Useful(now, a.peer, a.instead)
+	if a.instead.IsValid() {
+		c.peers.Forget(a.peer)
+	}
+	if a.peer == c.lastPeer {
+		return
+	}
+	c.lastPeer = a.peer
+	c.edge.log.Info("changes are asked of another host", "peer", a.peer.String(), "kind", a.of.kind, "age", a.told.Age.String())
+}
+
+// losePeer logs that another host was of no use, once for each loss.
+func (c *control) losePeer(a answer, reason string) {
+	if c.lastPeer != a.peer {
+		return
+	}
+	c.lastPeer = netip.AddrPort{}
+	c.edge.log.Warn("another host was of no use", "peer", a.peer.String(), "kind", a.of.kind, "reason", reason, "age", a.told.Age.String())
+}
--- a/internal/protocol/edgesettings/describe.go
+++ b/internal/protocol/edgesettings/describe.go
@@ -49,6 +49,8 @@
 		{Name: "host.packets", Unit: formAddress, Range: rangeAddress, Meaning: "Where clients' packets arrive (UDP). Packets to clients go to the same port number at their address."},
 		{Name: "host.ready", Unit: formAddress, Range: rangeAddress, Meaning: "Where the fabric asks over HTTP whether this host takes traffic."},
 		{Name: "host.metrics", Unit: formAddress, Range: rangeAddress, Meaning: "Where the counters are served over HTTP, at `/metrics`."},
+		{Name: "host.control", Unit: formAddress, Range: rangeAddress, Meaning: "Where other hosts ask what this one has read from the store (TCP)."},
+		{Name: "peers.seeds", Unit: "array of IP:port", Default: "none", Range: "each " + rangeAddress, Meaning: "Control addresses of hosts to ask before the store is read; some may be gone. Without any, every host reads the store itself."},
 		{Name: "store.address", Unit: formAddress, Range: rangeAddress, Meaning: "The platform's object store."},
 		{Name: "bounds.change", Unit: formDuration, Default: DefaultChangeBound.String(), Range: tomldoc.Span(minChangeBound, maxChangeBound), Meaning: "Time within which a new configuration has to take effect; the configuration is polled at 0.65 of it."},
 		{Name: "bounds.drain", Unit: formDuration, Default: DefaultDrainBound.String(), Range: tomldoc.Span(minChangeBound, maxChangeBound), Meaning: "Time within which a leaving target gets no new flow; targets are polled at 0.65 of it."},
--- a/internal/protocol/edgesettings/settings.go
+++ b/internal/protocol/edgesettings/settings.go
@@ -23,6 +23,10 @@
 	Ready netip.AddrPort
 	// Metrics serves the counters as text over HTTP.
 	Metrics netip.AddrPort
+	// Control is where other hosts ask this one what it has read from the store.
+	Control netip.AddrPort
+	// Seeds are the control addresses of hosts to ask; some may be gone.
+	Seeds []netip.AddrPort
 	// Store is the address of the platform's object store.
 	Store netip.AddrPort
 	// ChangeBound is the time within which a new configuration has to take
@@ -57,6 +61,8 @@
 		Packets:       host.AddrPort("packets"),
 		Ready:         host.AddrPort("ready"),
 		Metrics:       host.AddrPort("metrics"),
+		Control:       host.AddrPort("control"),
+		Seeds:         root.Sub("peers").AddrPorts("seeds"),
 		Store:         root.Sub("store").AddrPort("address"),
 		ChangeBound:   bounds.Duration("change", DefaultChangeBound, minChangeBound, maxChangeBound),
 		DrainBound:    bounds.Duration("drain", DefaultDrainBound, minChangeBound, maxChangeBound),
--- a/internal/protocol/edgesettings/settings_test.go
+++ b/internal/protocol/edgesettings/settings_test.go
@@ -17,6 +17,9 @@
 packets = "10.1.0.10:8172"
 ready = "10.1.0.10:8167"
 metrics = "10.1.0.10:9464"
+control = "10.1.0.10:8166"
+[peers]
+seeds = ["10.1.0.11:8166", "10.2.0.10:8166"]
 [store]
 address = "10.200.1.7:8169"
 `
@@ -29,6 +32,8 @@
 		Packets:     netip.MustParseAddrPort("10.1.0.10:8172"),
 		Ready:       netip.MustParseAddrPort("10.1.0.10:8167"),
 		Metrics:     netip.MustParseAddrPort("10.1.0.10:9464"),
+		Control:     netip.MustParseAddrPort("10.1.0.10:8166"),
+		Seeds:       []netip.AddrPort{netip.MustParseAddrPort("10.1.0.11:8166"), netip.MustParseAddrPort("10.2.0.10:8166")},
 		Store:       netip.MustParseAddrPort("10.200.1.7:8169"),
 		ChangeBound: 3 * time.Second, DrainBound: 3 * time.Second, LeaveDeadline: 5 * time.Second,
 		MaxFlowAge: time.Minute, LogLevel: slog.LevelInfo, LogRate: 40,
--- a/internal/protocol/tomldoc/values.go
+++ b/internal/protocol/tomldoc/values.go
@@ -157,3 +157,28 @@
 	}
 	return address
 }
+
+// AddrPorts returns an optional array of IP addresses with ports.
+func (t *Table) AddrPorts(key string) []netip.AddrPort {
+	const allowed = "an array, each " + allowedAddrPort
+	value, present := t.take(key, false, allowed)
+	if !present {
+		return nil
+	}
+	items, ok := value.([]any)
+	if !ok {
+		t.Report(key, "is not allowed; allowed: "+allowed)
+		return nil
+	}
+	addresses := make([]netip.AddrPort, 0, len(items))
+	for _, item := range items {
+		text, _ := item.(string)
+		address, err := netip.ParseAddrPort(text)
+		if err != nil || address.Port() == 0 {
+			t.Report(key, "is not allowed; allowed: "+allowed)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -152,12 +152,15 @@
 	return slices.Clone(w.opened[client])
 }
 
+// control is where the host of a number answers others.
+func (w *world) control(number byte) netip.AddrPort { return w.address(1, number, readyPort+2) }
+
 func (w *world) newHost(number byte) *host {
 	h := &host{address: w.address(1, number, packets), ready: w.address(1, number, readyPort)}
 	dir := w.t.TempDir()
 	h.config = filepath.Join(dir, "edge.toml")
-	settings := fmt.Sprintf("[host]\nid = \"edge-%d\"\ndomain = \"a\"\npackets = %q\nready = %q\nmetrics = %q\n[store]\naddress = %q\n[bounds]\nchange = %q\ndrain = %q\nleave = \"3s\"\n",
-		number, h.address, h.ready, w.address(1, number, readyPort+1), strings.TrimPrefix(w.server.URL, "http://"), bound, bound)
+	settings := fmt.Sprintf("[host]\nid = \"edge-%d\"\ndomain = \"a\"\npackets = %q\nready = %q\nmetrics = %q\ncontrol = %q\n[peers]\nseeds = [%q, %q]\n[store]\naddress = %q\n[bounds]\nchange = %q\ndrain = %q\nleave = \"3s\"\n",
+		number, h.address, h.ready, w.address(1, number, readyPort+1), w.control(number), w.control(1), w.control(2), strings.TrimPrefix(w.server.URL, "http://"), bound, bound)
 	require.NoError(w.t, os.WriteFile(h.config, []byte(settings), 0o600))
 	log, err := os.Create(filepath.Join(dir, "log"))
 	require.NoError(w.t, err)
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -121,6 +121,13 @@
 	d.trustedFrom = max(d.trustedFrom, now+d.settings.LapseGrace)
 }
 
+// Doubt notes that entries may be missing until a time although their targets
+// live, as another host tells that saw the store away.
+func (d *Directory) Doubt(until time.Duration) { d.trustedFrom = max(d.trustedFrom, until) }
+
+// DoubtUntil is when a missing entry means again that its target is gone.
+func (d *Directory) DoubtUntil() time.Duration { return d.trustedFrom }
+
 // Put takes the entry of a running target.
 func (d *Directory) Put(target Target) {
 	delete(d.departed, target.Name)
--- /dev/null
+++ b/internal/state/replica/replica.go
@@ -0,0 +1,167 @@
+// Package replica holds the objects of one kind as they were read from the store,
+// so that a host can tell others what it has read: all objects, or what changed
+// since a revision.
+package replica
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+const (
+	// maxPage bounds the objects of one answer: some 350 bytes each, they take less
+	// than 0.1 s on a link of 10 Mbit/s.
+	maxPage = 200
+	// maxGone bounds the deletions that are remembered.
+	maxGone = 4096
+)
+
+// Replica is the objects of one kind. Its zero value is not ready for use: see
+// New. It is safe for concurrent use.
+type Replica struct {
+	mu      sync.Mutex
+	objects map[string]objects.Object
+	// gone holds deleted objects, the oldest first. Their revision is that of the
+	// read that told of them.
+	gone []objects.Object
+	// floor is the oldest revision from which every change is known.
+	floor uint64
+	// revision is the store's at the newest whole read, 0 before the first.
+	revision uint64
+	// asOf is when the newest whole read was asked for.
+	asOf time.Duration
+}
+
+// New returns a replica that holds nothing.
+func New() *Replica { return &Replica{objects: make(map[string]objects.Object)} }
+
+// Put takes objects that were read and returns those that are news: what another
+// host told may be older than what is known. Revision is the store's at that read.
+func (r *Replica) Put(changed []objects.Object, revision uint64) []objects.Object {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := make([]objects.Object, 0, len(changed))
+	for _, object := range changed {
+		known, present := r.objects[object.Key]
+		switch {
+		case object.Deleted && present && known.Revision <= revision:
+			r.remove(object.Key, revision)
+			news = append(news, object)
+		case !object.Deleted && (!present || known.Revision < object.Revision):
+			r.objects[object.Key] = object
+			news = append(news, object)
+		}
+	}
+	return news
+}
+
+// Keep removes the objects that a complete list does not name.
+func (r *Replica) Keep(listed map[string]bool, revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(r.objects)) {
+		if !listed[key] {
+			r.remove(key, revision)
+		}
+	}
+	if r.revision == 0 {
+		// What was deleted before the first list is not known.
+		r.floor = revision
+	}
+}
+
+// remove forgets an object and remembers that it is gone.
+func (r *Replica) remove(key string, revision uint64) {
+	delete(r.objects, key)
+	r.gone = append(r.gone, objects.Object{Key: key, Revision: revision, Deleted: true})
+	if len(r.gone) > maxGone {
+		r.floor = max(r.floor, r.gone[0].Revision)
+		r.gone = r.gone[1:]
+	}
+}
+
+// Whole notes that a read brought all changes up to a revision. It was asked for
+// at asOf, by the clock that Since takes.
+func (r *Replica) Whole(revision uint64, asOf time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision = max(r.revision, revision)
+	r.asOf = max(r.asOf, asOf)
+}
+
+// Answer is what a replica tells of its objects.
+type Answer struct {
+	// Known is unset if the replica can't tell: no read was whole yet, or the
+	// revision that was asked about is older than the changes it remembers.
+	Known bool
+	// Age is the time since the read that the answer comes from was asked for.
+	Age  time.Duration
+	Page objects.Page
+}
+
+// Since returns what changed after a revision, the oldest first. Now is the time by
+// the clock of Whole.
+func (r *Replica) Since(after uint64, now time.Duration) Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision == 0 || after < r.floor {
+		return Answer{}
+	}
+	page := objects.Page{Revision: r.revision}
+	for _, object := range r.objects {
+		if object.Revision > after {
+			page.Objects = append(page.Objects, object)
+		}
+	}
+	for _, object := range r.gone {
+		if _, again := r.objects[object.Key]; object.Revision > after && !again {
+			page.Objects = append(page.Objects, object)
+		}
+	}
+	slices.SortStableFunc(page.Objects, func(a, b objects.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	cut(&page)
+	return Answer{Known: true, Age: now - r.asOf, Page: page}
+}
+
+// cut shortens a page of changes. The rest is told from the revision of its last
+// object on, so that objects of one revision stay together.
+func cut(page *objects.Page) {
+	if len(page.Objects) <= maxPage {
+		return
+	}
+	end := maxPage
+	for end < len(page.Objects) && page.Objects[end].Revision == page.Objects[end-1].Revision {
+		end++
+	}
+	if end < len(page.Objects) {
+		page.More = true
+		page.Revision = page.Objects[end-1].Revision
+	}
+	page.Objects = page.Objects[:end]
+}
+
+// List returns the objects whose keys follow from, in the order of their keys.
+func (r *Replica) List(from string, now time.Duration) Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision == 0 {
+		return Answer{}
+	}
+	page := objects.Page{Revision: r.revision}
+	for _, key := range slices.Sorted(maps.Keys(r.objects)) {
+		if key <= from {
+			continue
+		}
+		if len(page.Objects) == maxPage {
+			page.More = true
+			break
+		}
+		page.Objects = append(page.Objects, r.objects[key])
+	}
+	return Answer{Known: true, Age: now - r.asOf, Page: page}
+}
--- /dev/null
+++ b/internal/state/replica/replica_test.go
@@ -0,0 +1,153 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/state/objects"
+)
+
+func object(key string, revision uint64) objects.Object {
+	return objects.Object{Key: key, Revision: revision}
+}
+
+func gone(key string) objects.Object { return objects.Object{Key: key, Deleted: true} }
+
+// keys names the objects of a page, a deleted one with a minus.
+func keys(page objects.Page) []string {
+	var keys []string
+	for _, object := range page.Objects {
+		if object.Deleted {
+			keys = append(keys, "-"+object.Key)
+			continue
+		}
+		keys = append(keys, object.Key)
+	}
+	return keys
+}
+
+// filled holds a list of revision 10 that was asked for at 1 s.
+func filled() *Replica {
+	r := New()
+	r.Put([]objects.Object{object("a", 3), object("b", 7)}, 10)
+	r.Keep(map[string]bool{"a": true, "b": true}, 10)
+	r.Whole(10, time.Second)
+	return r
+}
+
+func TestNothingIsToldBeforeAWholeRead(t *testing.T) {
+	r := New()
+	r.Put([]objects.Object{object("a", 3)}, 10)
+	r.Keep(map[string]bool{"a": true}, 10)
+	require.False(t, r.Since(10, time.Second).Known)
+	require.False(t, r.List("", time.Second).Known)
+}
+
+func TestChangesAreToldInTheirOrderWithTheirAge(t *testing.T) {
+	r := filled()
+	r.Put([]objects.Object{object("c", 14), gone("a"), object("b", 12)}, 15)
+	r.Whole(15, 3*time.Second)
+	answer := r.Since(10, 4*time.Second)
+	require.True(t, answer.Known)
+	require.Equal(t, time.Second, answer.Age)
+	require.Equal(t, []string{"b", "c", "-a"}, keys(answer.Page))
+	require.EqualValues(t, 15, answer.Page.Revision)
+	require.Empty(t, r.Since(15, 4*time.Second).Page.Objects)
+}
+
+// An object that was made again is there; a host that never heard of its end
+// replaces it.
+func TestAnObjectThatWasMadeAgainIsNotGone(t *testing.T) {
+	r := filled()
+	r.Put([]objects.Object{gone("a"), object("a", 14)}, 15)
+	r.Whole(15, time.Second)
+	require.Equal(t, []string{"a"}, keys(r.Since(10, 0).Page))
+}
+
+func TestChangesBeforeTheFirstListAreNotKnown(t *testing.T) {
+	r := filled()
+	require.False(t, r.Since(9, 0).Known)
+	require.True(t, r.Since(10, 0).Known)
+}
+
+// A list that replaces a lost history tells of ends by what it lacks.
+func TestAListTellsWhatIsGone(t *testing.T) {
+	r := filled()
+	r.Put([]objects.Object{object("b", 7)}, 40)
+	r.Keep(map[string]bool{"b": true}, 40)
+	r.Whole(40, 2*time.Second)
+	require.Equal(t, []string{"-a"}, keys(r.Since(10, 0).Page))
+}
+
+func TestEndsThatAreForgottenMakeOldRevisionsUnknown(t *testing.T) {
+	r := filled()
+	for i := range maxGone + 1 {
+		key := fmt.Sprint("t", i)
+		revision := uint64(100 + 2*i)
+		r.Put([]objects.Object{object(key, revision)}, revision)
+		r.Put([]objects.Object{gone(key)}, revision+1)
+	}
+	r.Whole(1<<20, 0)
+	require.False(t, r.Since(10, 0).Known)
+	require.True(t, r.Since(101, 0).Known)
+}
+
+// Another host may know less: its older objects are no news, and do not bring back
+// what has changed since.
+func TestOlderObjectsAreNoNews(t *testing.T) {
+	r := filled()
+	require.Empty(t, r.Put([]objects.Object{object("b", 6), object("a", 3)}, 8))
+	require.Empty(t, r.Put([]objects.Object{gone("b")}, 6), "made again since")
+	require.Len(t, r.Put([]objects.Object{gone("b"), gone("b")}, 11), 1)
+	r.Whole(8, 0)
+	require.EqualValues(t, 10, r.Since(10, 0).Page.Revision)
+}
+
+func TestManyChangesAreToldInParts(t *testing.T) {
+	r := filled()
+	var changed []objects.Object
+	for i := range uint64(maxPage + 50) {
+		changed = append(changed, object(fmt.Sprint("t", i), 11+i))
+	}
+	r.Put(changed, 500)
+	r.Whole(500, 0)
+	part := r.Since(10, 0).Page
+	require.True(t, part.More)
+	require.Len(t, part.Objects, maxPage)
+	rest := r.Since(part.Revision, 0).Page
+	require.False(t, rest.More)
+	require.Len(t, rest.Objects, 50)
+	require.EqualValues(t, 500, rest.Revision)
+}
+
+// Ends that one read told of have one revision and must not be torn apart.
+func TestChangesOfOneRevisionStayTogether(t *testing.T) {
+	r := filled()
+	var made, ended []objects.Object
+	for i := range uint64(maxPage + 50) {
+		made = append(made, object(fmt.Sprint("t", i), 11+i))
+		ended = append(ended, gone(fmt.Sprint("t", i)))
+	}
+	r.Put(made, 500)
+	r.Put(ended, 600)
+	r.Whole(600, 0)
+	part := r.Since(10, 0).Page
+	require.False(t, part.More)
+	require.Len(t, part.Objects, maxPage+50)
+}
+
+func TestAListIsToldPageByPage(t *testing.T) {
+	r := filled()
+	for i := range maxPage {
+		r.Put([]objects.Object{object(fmt.Sprintf("t%04d", i), 20)}, 20)
+	}
+	first := r.List("", 0).Page
+	require.True(t, first.More)
+	require.Len(t, first.Objects, maxPage)
+	rest := r.List(first.Objects[maxPage-1].Key, 0).Page
+	require.False(t, rest.More)
+	require.Len(t, rest.Objects, 2)
+}
--- /dev/null
+++ b/internal/transport/peerlink/server.go
@@ -0,0 +1,63 @@
+package peerlink
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/samber/oops"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/peerapi"
+	"github.com/guavawharf/guavawharf/internal/transport/netrpc"
+)
+
+// maxConnections bounds the hosts that are connected at a time: several times those
+// that one host answers.
+const maxConnections = 256
+
+// Reader answers questions. It is called from several goroutines.
+type Reader interface {
+	Read(peerapi.Query) peerapi.Reply
+}
+
+// reads is the net/rpc service.
+type reads struct {
+	reader Reader
+}
+
+// Read answers one question.
+func (r *reads) Read(query peerapi.Query, reply *peerapi.Reply) error {
+	if query.Version == peerapi.Version {
+		*reply = r.reader.Read(query)
+	}
+	return nil
+}
+
+// Server answers other hosts.
+type Server struct {
+	server   *netrpc.Server
+	listener net.Listener
+}
+
+// Listen opens the address that other hosts ask at. Nothing is answered before Serve.
+func Listen(address netip.AddrPort, reader Reader) (*Server, error) {
+	service := netrpc.Service{Name: peerapi.Service, Receiver: &reads{reader: reader}}
+	server, err := netrpc.NewServer(netrpc.ServerSettings{MaxConnections: maxConnections}, service)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, oops.Code("peer_listen").Wrap(err)
+	}
+	return &Server{server: server, listener: listener}, nil
+}
+
+// Serve answers until Close; it then returns nil.
+func (s *Server) Serve() error { return s.server.Serve(s.listener) }
+
+// Close stops listening and drops all connections.
+func (s *Server) Close() {
+	s.server.Close()
+	// Serve may not have taken the listener over yet.
+	_ = s.listener.Close()
+}
