Tell and count the log lines that were lost

Cause: lines that the reader was too slow for were counted by the writer, and nobody read the count: a log with gaps looked whole. Change: the line "log lines dropped" names the cause (more lines a second than allowed, or a slow reader) and the message; both totals are served as guava_log_lines_dropped_total. Tests: 600,000 decisions in 3 s of the log's clock write no more than the budget of each message; a flood of packets that can't be read and a reader that has stopped hold up no flow.

--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -51,9 +51,10 @@
 	level := new(slog.LevelVar)
 	level.Set(checked.LogLevel)
 	json := slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level})
-	log := slog.New(limitlog.NewHandler(json, checked.LogRate, time.Now)).With("host", string(checked.Host))
+	limited := limitlog.NewHandler(json, lines, checked.LogRate, time.Now)
+	log := slog.New(limited).With("host", string(checked.Host))
 	log.Info("starting", "version", version, "domain", string(checked.Domain), "settings", options.Config)
-	host, err := edge.New(checked, log)
+	host, err := edge.New(checked, log, limited.Losses)
 	if err != nil {
 		log.Error("start failed", "error", err.Error())
 		return exitFailed
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/protocol/edgesettings"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
+	"github.com/guavawharf/guavawharf/internal/transport/limitlog"
 	"github.com/guavawharf/guavawharf/internal/transport/udp"
 )
 
@@ -50,10 +51,12 @@
 	pages       *pages
 }
 
-// New opens every socket. Nothing is served before Run.
-func New(settings edgesettings.Settings, log *slog.Logger) (*Edge, error) {
+// New opens every socket. Nothing is served before Run. Losses tells the log lines
+// that were not written, for the counters.
+func New(settings edgesettings.Settings, log *slog.Logger, losses func() limitlog.Losses) (*Edge, error) {
 	e := &Edge{settings: settings, log: log, start: time.Now(), firstReady: make(chan struct{}), metrics: newMeasures()}
 	e.metrics.watchAges(e)
+	e.metrics.watchLog(losses)
 	socket, err := udp.Listen(settings.Packets)
 	if err != nil {
 		return nil, err
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavawharf/guavawharf/internal/protocol/edgesettings"
+	"github.com/guavawharf/guavawharf/internal/transport/limitlog"
 	"github.com/guavawharf/guavawharf/platform/platformtest"
 )
 
@@ -124,7 +125,12 @@
 
 // start runs the host until the end of the test or stop.
 func (b *bed) start() {
-	host, err := New(b.settings(), slog.New(slog.NewTextHandler(b.logs, nil)))
+	b.startWith(slog.New(slog.NewTextHandler(b.logs, nil)), func() limitlog.Losses { return limitlog.Losses{} })
+}
+
+// startWith runs the host with a log of its own.
+func (b *bed) startWith(log *slog.Logger, losses func() limitlog.Losses) {
+	host, err := New(b.settings(), log, losses)
 	require.NoError(b.t, err)
 	leave, stopped := make(chan struct{}, 1), make(chan struct{})
 	b.leave, b.stopped = leave, stopped
@@ -294,6 +300,32 @@
 	}
 }
 
+// The load: as many openings as a client can send, each of which makes a line, and a
+// reader of the log that has stopped.
+func TestAFloodOfDecisionsAndAStuckLogHoldUpNoFlow(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	reader, stuck := io.Pipe()
+	t.Cleanup(func() { _ = reader.Close() })
+	lines := limitlog.NewWriter(stuck)
+	handler := limitlog.NewHandler(slog.NewJSONHandler(lines, nil), lines, edgesettings.DefaultLogRate, time.Now)
+	b.startWith(slog.New(handler), handler.Losses)
+	b.waitReady()
+	conn, err := net.Dial("udp", b.host.String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	for range 30 {
+		for range 500 {
+			// A full socket drops datagrams; the host counts what it gets.
+			_, _ = conn.Write([]byte("short"))
+		}
+		began := time.Now()
+		require.Equal(t, "i-2a00000001", b.request(b.open()))
+		require.Less(t, time.Since(began), patience)
+	}
+	require.Positive(t, handler.Losses().Budget)
+}
+
 func TestALostHistoryLosesNoChange(t *testing.T) {
 	b := newBed(t)
 	b.target("i-2a00000001", "a")
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -13,6 +13,7 @@
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
+	"github.com/guavawharf/guavawharf/internal/transport/limitlog"
 )
 
 // measures are the counters of the process.
@@ -93,6 +94,12 @@
 	m.set.NewGauge("guava_config_version", func() float64 { return float64(e.configVersion()) })
 }
 
+// watchLog serves how many log lines were not written.
+func (m *measures) watchLog(losses func() limitlog.Losses) {
+	m.set.NewGauge(`guava_log_lines_dropped_total{cause="budget"}`, func() float64 { return float64(losses().Budget) })
+	m.set.NewGauge(`guava_log_lines_dropped_total{cause="reader"}`, func() float64 { return float64(losses().Reader) })
+}
+
 // age is the time since a read in seconds.
 func (e *Edge) age(readAt *atomic.Int64) float64 {
 	return (e.now() - time.Duration(readAt.Load())).Seconds()
--- a/internal/transport/limitlog/limitlog.go
+++ b/internal/transport/limitlog/limitlog.go
@@ -55,7 +55,7 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines lost in the queue.
+// Dropped returns the number of lines lost because the reader was too slow.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
 // Close writes what is queued, for at most the time given. No line may be
@@ -76,14 +76,27 @@
 	budgets *budgets
 }
 
+// Losses are the lines that were not written since the start.
+type Losses struct {
+	// Budget counts those beyond the budget of their message.
+	Budget int64
+	// Reader counts those that the reader was too slow for.
+	Reader int64
+}
+
 // budgets are shared by a handler and those derived from it.
 type budgets struct {
 	perSecond int
 	now       func() time.Time
+	writer    *Writer
+	// total counts the lines dropped for lack of budget.
+	total atomic.Int64
 
 	mu         sync.Mutex
 	byMessage  map[string]*budget
 	nextReport time.Time
+	// toldReader is how many lines lost to a slow reader were told.
+	toldReader int64
 }
 
 // budget is that of one message.
@@ -92,21 +105,28 @@
 	dropped int64
 }
 
-// NewHandler limits each message to some lines a second.
-func NewHandler(inner slog.Handler, perSecond int, now func() time.Time) *Handler {
+// NewHandler limits each message to some lines a second. Inner writes to the writer,
+// whose losses are told, too.
+func NewHandler(inner slog.Handler, writer *Writer, perSecond int, now func() time.Time) *Handler {
 	return &Handler{Handler: inner, budgets: &budgets{
 		perSecond: perSecond,
 		now:       now,
+		writer:    writer,
 		byMessage: make(map[string]*budget),
 	}}
 }
 
+// Losses returns what was lost since the start.
+func (h *Handler) Losses() Losses {
+	return Losses{Budget: h.budgets.total.Load(), Reader: h.budgets.writer.Dropped()}
+}
+
 // Handle passes a record on if its message has budget left.
 func (h *Handler) Handle(ctx context.Context, record slog.Record) error {
-	allowed, summary := h.budgets.take(record)
-	for message, dropped := range summary {
+	allowed, report := h.budgets.take(record)
+	for _, loss := range report {
 		line := slog.NewRecord(record.Time, slog.LevelWarn, "log lines dropped", 0)
-		line.AddAttrs(slog.String("message", message), slog.Int64("lines", dropped))
+		line.AddAttrs(slog.String("message", loss.message), slog.String("cause", loss.cause), slog.Int64("lines", loss.lines))
 		if err := h.Handler.Handle(ctx, line); err != nil {
 			return err
 		}
@@ -127,9 +147,23 @@
 	return &Handler{Handler: h.Handler.WithGroup(name), budgets: h.budgets}
 }
 
-// take spends a message's budget. From time to time it also returns how many
-// lines of each message were dropped since the last report.
-func (b *budgets) take(record slog.Record) (allowed bool, summary map[string]int64) {
+// Causes of a loss.
+const (
+	causeBudget = "more lines a second than allowed"
+	causeReader = "the reader is too slow"
+)
+
+// loss is a number of lines that were dropped since the last report.
+type loss struct {
+	// message is what the lines said, empty for lines of any message.
+	message string
+	cause   string
+	lines   int64
+}
+
+// take spends a message's budget. From time to time it also returns what was lost
+// since the last report.
+func (b *budgets) take(record slog.Record) (allowed bool, report []loss) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entry := b.byMessage[record.Message]
@@ -141,25 +175,26 @@
 	allowed = entry.limiter.AllowN(now, 1)
 	if !allowed {
 		entry.dropped++
+		b.total.Add(1)
 	}
 	return allowed, b.report(now)
 }
 
-func (b *budgets) report(now time.Time) map[string]int64 {
+func (b *budgets) report(now time.Time) []loss {
 	if now.Before(b.nextReport) {
 		return nil
 	}
 	b.nextReport = now.Add(summaryInterval)
-	var summary map[string]int64
+	var report []loss
 	for message, entry := range b.byMessage {
-		if entry.dropped == 0 {
-			continue
+		if entry.dropped > 0 {
+			report = append(report, loss{message: message, cause: causeBudget, lines: entry.dropped})
+			entry.dropped = 0
 		}
-		if summary == nil {
-			summary = make(map[string]int64)
-		}
-		summary[message] = entry.dropped
-		entry.dropped = 0
 	}
-	return summary
+	if lost := b.writer.Dropped() - b.toldReader; lost > 0 {
+		report = append(report, loss{cause: causeReader, lines: lost})
+		b.toldReader += lost
+	}
+	return report
 }
--- a/internal/transport/limitlog/limitlog_test.go
+++ b/internal/transport/limitlog/limitlog_test.go
@@ -11,8 +11,15 @@
 	"github.com/stretchr/testify/require"
 )
 
-// newLog returns a log with a budget of 5 lines a second and its clock.
+// newLog returns a log with a budget of 5 lines a second and its clock. It tells
+// what an idle writer loses.
 func newLog(out io.Writer) (*slog.Logger, *time.Time) {
+	log, _, now := newLogOf(out, NewWriter(io.Discard))
+	return log, now
+}
+
+// newLogOf returns a log that tells the losses of a writer, and its handler.
+func newLogOf(out io.Writer, writer *Writer) (*slog.Logger, *Handler, *time.Time) {
 	now := time.Unix(1000, 0)
 	inner := slog.NewTextHandler(out, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 		if a.Key == slog.TimeKey {
@@ -20,7 +27,8 @@
 		}
 		return a
 	}})
-	return slog.New(NewHandler(inner, 5, func() time.Time { return now })), &now
+	handler := NewHandler(inner, writer, 5, func() time.Time { return now })
+	return slog.New(handler), handler, &now
 }
 
 func TestEachMessageHasItsOwnBudget(t *testing.T) {
@@ -43,12 +51,52 @@
 	}
 	*now = now.Add(summaryInterval)
 	log.Info("placed")
-	require.Contains(t, out.String(), `level=WARN msg="log lines dropped" host=a1 message=placed lines=95`)
+	require.Contains(t, out.String(), `level=WARN msg="log lines dropped" host=a1 message=placed cause="more lines a second than allowed" lines=95`)
 	*now = now.Add(summaryInterval)
 	log.Info("placed")
 	require.Equal(t, 1, strings.Count(out.String(), "log lines dropped"), "told once")
 }
 
+func TestLinesLostToASlowReaderAreTold(t *testing.T) {
+	writer := NewWriter(stuckWriter{})
+	for range queuedLines + 10 {
+		_, _ = writer.Write([]byte("line\n"))
+	}
+	var out bytes.Buffer
+	log, handler, now := newLogOf(&out, writer)
+	for range 8 {
+		log.Info("placed")
+	}
+	require.Contains(t, out.String(), `cause="the reader is too slow"`)
+	require.Equal(t, int64(3), handler.Losses().Budget)
+	require.Equal(t, writer.Dropped(), handler.Losses().Reader)
+	*now = now.Add(summaryInterval)
+	log.Info("placed")
+	require.Equal(t, 1, strings.Count(out.String(), "too slow"), "told once")
+}
+
+// stuckWriter never returns.
+type stuckWriter struct{}
+
+func (stuckWriter) Write([]byte) (int, error) { select {} }
+
+// At a line rate of decisions that no log could take, a second costs the budget of
+// each message and no more.
+func TestTheVolumeIsBoundedAtAnyLineRate(t *testing.T) {
+	const messages, decisions, seconds = 10, 200_000, 3
+	var out bytes.Buffer
+	log, handler, now := newLogOf(&out, NewWriter(io.Discard))
+	for range seconds {
+		for i := range decisions {
+			log.Info("decision " + string(rune('a'+i%messages)))
+		}
+		*now = now.Add(time.Second)
+	}
+	written := strings.Count(out.String(), "\n")
+	require.LessOrEqual(t, written, messages*(5+5*seconds)+messages)
+	require.GreaterOrEqual(t, handler.Losses().Budget, int64(decisions*seconds-written))
+}
+
 // A reader that stops reading must not hold up whoever writes.
 func TestAReaderThatStopsReadingBlocksNobody(t *testing.T) {
 	reader, writer := io.Pipe()
