Let operators ask hosts on the platform with guavactl

Cause: on the platform nothing told what a host has in force or believes of its targets but its log; guavactl spoke to guavad alone. JSON output and exit codes as before. Tests run guavactl's command against hosts of the product.

--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -54,7 +54,7 @@
 	limited := limitlog.NewHandler(json, lines, checked.LogRate, time.Now)
 	log := slog.New(limited).With("host", string(checked.Host))
 	log.Info("starting", "version", version, "domain", string(checked.Domain), "settings", options.Config)
-	host, err := edge.New(checked, log, limited.Losses)
+	host, err := edge.New(checked, version, log, limited.Losses)
 	if err != nil {
 		log.Error("start failed", "error", err.Error())
 		return exitFailed
--- a/internal/coordination/peers/askers.go
+++ b/internal/coordination/peers/askers.go
@@ -55,6 +55,16 @@
 	return len(a.asked)
 }
 
+// Hosts returns the hosts that asked lately, in the order of their first question.
+func (a *Askers) Hosts(now time.Duration) []netip.AddrPort {
+	a.expire(now)
+	hosts := make([]netip.AddrPort, 0, len(a.asked))
+	for _, known := range a.asked {
+		hosts = append(hosts, known.host)
+	}
+	return hosts
+}
+
 func (a *Askers) expire(now time.Duration) {
 	a.asked = slices.DeleteFunc(a.asked, func(known asker) bool { return now-known.last > a.forget })
 }
--- /dev/null
+++ b/internal/ctl/edge.go
@@ -0,0 +1,117 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+// shownAge is the resolution of times in tables.
+const shownAge = time.Millisecond
+
+// edgeQuery is the question to hosts of the users' platform.
+func (c *Command) edgeQuery() edgeapi.Query {
+	return edgeapi.Query{Version: edgeapi.Version, Pool: catalog.PoolID(c.options.Pool)}
+}
+
+func (c *Command) edgeConfig(ctx context.Context) error {
+	replies, err := ask[edgeapi.ConfigReply](ctx, c, edgeapi.MethodConfig, c.edgeQuery())
+	if err != nil {
+		return err
+	}
+	table := Table{Header: []string{"ANSWERING", "CONFIG", "AGE", "ROUTE", "ADDRESS", "POOLS", "IDEMPOTENT", "PRIORITY", "TARGETS"}}
+	for _, reply := range replies {
+		for _, route := range reply.Routes {
+			table.add(reply.Host, reply.Version, reply.Age.Round(shownAge), route.Name, route.Address,
+				poolsText(route.Pools), route.Idempotent, route.Priority, route.Targets)
+		}
+	}
+	return render(c.out, c.options.Output, replies, table)
+}
+
+// poolsText names a route's pools, with their weights if there are several.
+func poolsText(pools []catalog.PoolWeight) string {
+	if len(pools) == 1 {
+		return string(pools[0].Pool)
+	}
+	parts := make([]string, 0, len(pools))
+	for _, pool := range pools {
+		parts = append(parts, fmt.Sprintf("%s:%d", pool.Pool, pool.Weight))
+	}
+	return strings.Join(parts, ",")
+}
+
+func (c *Command) edgeTargets(ctx context.Context) error {
+	replies, err := ask[edgeapi.TargetsReply](ctx, c, edgeapi.MethodTargets, c.edgeQuery())
+	if err != nil {
+		return err
+	}
+	table := Table{Header: []string{"ANSWERING", "AGE", "POOL", "TARGET", "DOMAIN", "ADDRESS", "STATE", "BELIEF", "MISSED", "SILENCE", "OPEN", "WAITING"}}
+	for _, reply := range replies {
+		for _, row := range reply.Targets {
+			table.add(reply.Host, reply.Age.Round(shownAge), row.Pool, row.Name, row.Domain, row.Address,
+				row.State, row.Belief, row.Missed, row.Silence.Round(shownAge), row.Open, row.Waiting)
+		}
+	}
+	return render(c.out, c.options.Output, replies, table)
+}
+
+func (c *Command) edgeHosts(ctx context.Context) error {
+	replies, err := ask[edgeapi.HostReply](ctx, c, edgeapi.MethodHost, c.edgeQuery())
+	if err != nil {
+		return err
+	}
+	if c.options.All {
+		replies = c.withAskers(ctx, replies)
+	}
+	table := Table{Header: []string{"HOST", "DOMAIN", "BUILD", "UPTIME", "READY", "LEAVING", "CONFIG", "CONFIG-AGE", "TARGETS-AGE", "READS-FROM", "ASKED-BY", "FLOWS"}}
+	for _, host := range replies {
+		table.add(host.Host, host.Domain, host.Build, host.Uptime.Round(time.Second), host.Ready, host.Leaving,
+			host.Config, host.ConfigAge.Round(shownAge), host.TargetsAge.Round(shownAge), sourceText(host), len(host.AskedBy), host.Flows)
+	}
+	return render(c.out, c.options.Output, replies, table)
+}
+
+// sourceText tells whom a host reads from.
+func sourceText(host edgeapi.HostReply) string {
+	switch {
+	case host.Asks.IsValid():
+		return host.Asks.String()
+	case host.StoreAway:
+		return "store (away)"
+	}
+	return "store"
+}
+
+// withAskers adds the hosts that ask those that answered, and so on: starting from
+// the seeds these are all hosts that ask another.
+func (c *Command) withAskers(ctx context.Context, replies []edgeapi.HostReply) []edgeapi.HostReply {
+	known := slices.Clone(c.options.Hosts)
+	for i := 0; i < len(replies); i++ {
+		for _, address := range replies[i].AskedBy {
+			if slices.Contains(known, address.String()) {
+				continue
+			}
+			known = append(known, address.String())
+			if reply, ok := c.askHost(ctx, address); ok {
+				replies = append(replies, reply)
+			}
+		}
+	}
+	return replies
+}
+
+func (c *Command) askHost(ctx context.Context, address netip.AddrPort) (edgeapi.HostReply, bool) {
+	var reply edgeapi.HostReply
+	if err := c.caller(ctx, address.String(), edgeapi.MethodHost, c.edgeQuery(), &reply); err != nil {
+		fmt.Fprintf(c.errors, "guavactl: %s: %v\n", address, err)
+		return edgeapi.HostReply{}, false
+	}
+	return reply, true
+}
--- a/internal/ctl/flags.go
+++ b/internal/ctl/flags.go
@@ -13,6 +13,8 @@
   guavactl status 2026-12-03-feed --platform http://192.0.2.10:8500
   guavactl hosts --host 192.0.2.21:6082 --host 192.0.2.22:6082
   guavactl counters --host 192.0.2.21:6082 --output json
+  guavactl edge-hosts --host 10.1.0.10:8166 --all
+  guavactl edge-targets --host 10.1.0.10:8166 --pool taller --output json
 
 Exit codes of apply: 0 in force, 1 refused, 2 wrong usage or note, 3 outcome not yet known.`
 
@@ -34,6 +36,9 @@
 	{VerbTargets, "List the targets as a host sees them.", "", false},
 	{VerbFlows, "Count the flows that a host owns, by service.", "", false},
 	{VerbCounters, "List a host's counters.", "", false},
+	{VerbEdgeHosts, "List hosts that run guavaedge: version, configuration, whom they read from.", "", false},
+	{VerbEdgeConfig, "List the routes in force on a host that runs guavaedge.", "", false},
+	{VerbEdgeTargets, "List the targets with what a host that runs guavaedge believes of them.", "", false},
 }
 
 // ParseFlags parses the command line. Help, version and unknown flags end the
@@ -76,6 +81,12 @@
 	if help.verb == VerbTargets || help.verb == VerbFlows {
 		command.String(&options.Service, "s", "service", "only this service")
 	}
+	if help.verb == VerbEdgeTargets {
+		command.String(&options.Pool, "s", "pool", "only this pool")
+	}
+	if help.verb == VerbEdgeHosts {
+		command.Bool(&options.All, "a", "all", "also the hosts that ask those named, and so on")
+	}
 	if help.verb == VerbApply {
 		command.Duration(&options.Wait, "w", "wait", "how long to wait for the outcome")
 	}
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -35,6 +35,11 @@
 	VerbFlows    Verb = "flows"
 	VerbCounters Verb = "counters"
 	VerbHistory  Verb = "history"
+
+	// These ask hosts that run guavaedge.
+	VerbEdgeHosts   Verb = "edge-hosts"
+	VerbEdgeConfig  Verb = "edge-config"
+	VerbEdgeTargets Verb = "edge-targets"
 )
 
 // Options are the parsed command line.
@@ -56,6 +61,10 @@
 	Note string
 	// Service filters targets and flows; empty for all.
 	Service string
+	// Pool filters the targets of edge-targets; empty for all.
+	Pool string
+	// All has edge-hosts ask the hosts, too, that ask those named.
+	All bool
 }
 
 // needsPlatform reports whether the verb reads or writes the platform.
--- a/internal/ctl/reads.go
+++ b/internal/ctl/reads.go
@@ -15,8 +15,7 @@
 
 // ask calls each host and returns the answers; hosts that fail are named on the
 // error stream. It fails when none answers.
-func ask[Reply any](ctx context.Context, c *Command, method string) ([]Reply, error) {
-	query := rpcapi.Query{Version: rpcapi.Version, Service: state.ServiceID(c.options.Service)}
+func ask[Reply any](ctx context.Context, c *Command, method string, query any) ([]Reply, error) {
 	var replies []Reply
 	var failures []error
 	for _, address := range c.options.Hosts {
@@ -34,8 +33,13 @@
 	return replies, nil
 }
 
+// query is the question to hosts that run guavad.
+func (c *Command) query() rpcapi.Query {
+	return rpcapi.Query{Version: rpcapi.Version, Service: state.ServiceID(c.options.Service)}
+}
+
 func (c *Command) hosts(ctx context.Context) error {
-	replies, err := ask[rpcapi.HostsReply](ctx, c, rpcapi.MethodHosts)
+	replies, err := ask[rpcapi.HostsReply](ctx, c, rpcapi.MethodHosts, c.query())
 	if err != nil {
 		return err
 	}
@@ -50,7 +54,7 @@
 }
 
 func (c *Command) targets(ctx context.Context) error {
-	replies, err := ask[rpcapi.TargetsReply](ctx, c, rpcapi.MethodTargets)
+	replies, err := ask[rpcapi.TargetsReply](ctx, c, rpcapi.MethodTargets, c.query())
 	if err != nil {
 		return err
 	}
@@ -65,7 +69,7 @@
 }
 
 func (c *Command) flows(ctx context.Context) error {
-	replies, err := ask[rpcapi.FlowsReply](ctx, c, rpcapi.MethodFlows)
+	replies, err := ask[rpcapi.FlowsReply](ctx, c, rpcapi.MethodFlows, c.query())
 	if err != nil {
 		return err
 	}
@@ -79,7 +83,7 @@
 }
 
 func (c *Command) counters(ctx context.Context) error {
-	replies, err := ask[rpcapi.CountersReply](ctx, c, rpcapi.MethodCounters)
+	replies, err := ask[rpcapi.CountersReply](ctx, c, rpcapi.MethodCounters, c.query())
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -55,6 +55,12 @@
 		return c.bounded(ctx, c.flows)
 	case VerbCounters:
 		return c.bounded(ctx, c.counters)
+	case VerbEdgeHosts:
+		return c.bounded(ctx, c.edgeHosts)
+	case VerbEdgeConfig:
+		return c.bounded(ctx, c.edgeConfig)
+	case VerbEdgeTargets:
+		return c.bounded(ctx, c.edgeTargets)
 	default:
 		return c.usage("a verb is missing; see guavactl --help")
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -82,6 +83,8 @@
 	wasReady bool
 	// lastPeer is the host whose answer was of use last.
 	lastPeer netip.AddrPort
+	// link is what operators are told of whom this host reads from.
+	link atomic.Pointer[sourceState]
 	// storeLost tells that the store's loss was logged.
 	storeLost bool
 }
@@ -93,6 +96,13 @@
 	apply    func(now time.Duration, change follow.Change) (changed bool)
 }
 
+// sourceState tells whom the host reads from.
+type sourceState struct {
+	// peer is the host that was of use last, the zero address for the store.
+	peer      netip.AddrPort
+	storeAway bool
+}
+
 // question is a call of a follower.
 type question struct {
 	of   *followed
@@ -142,6 +152,7 @@
 			LapseGrace:   lapseGrace,
 		}),
 	}
+	c.link.Store(&sourceState{})
 	// The configuration is read as it is now before anything is served by it. Of
 	// targets there are many: old lists spare the store when all hosts start.
 	c.config = c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, c.applyConfig)
@@ -305,6 +316,7 @@
 	if change.Whole {
 		known.Whole(a.of.follower.Revision(), a.asked-a.told.Age)
 	}
+	c.link.Store(&sourceState{peer: c.lastPeer, storeAway: c.storeLost})
 	c.reads.doubtUntil.Store(int64(c.directory.DoubtUntil()))
 	// After the view that holds what was read.
 	c.edge.configRead.Store(int64(c.config.ReadAt()))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,10 +33,12 @@
 // Edge is one running guavaedge.
 type Edge struct {
 	settings edgesettings.Settings
-	log      *slog.Logger
-	start    time.Time
-	view     atomic.Pointer[catalog.View]
-	leaving  atomic.Bool
+	// build is the version of the program.
+	build   string
+	log     *slog.Logger
+	start   time.Time
+	view    atomic.Pointer[catalog.View]
+	leaving atomic.Bool
 	// firstReady is closed when the host can serve for the first time.
 	firstReady chan struct{}
 	// lastPacket is when the newest packet arrived, in nanoseconds from start.
@@ -51,10 +53,11 @@
 	pages       *pages
 }
 
-// New opens every socket. Nothing is served before Run. Losses tells the log lines
+// New opens every socket. Nothing is served before Run. Build is the version of the
+// program, losses tells the log lines
 // that were not written, for the counters.
-func New(settings edgesettings.Settings, log *slog.Logger, losses func() limitlog.Losses) (*Edge, error) {
-	e := &Edge{settings: settings, log: log, start: time.Now(), firstReady: make(chan struct{}), metrics: newMeasures()}
+func New(settings edgesettings.Settings, build string, log *slog.Logger, losses func() limitlog.Losses) (*Edge, error) {
+	e := &Edge{settings: settings, build: build, log: log, start: time.Now(), firstReady: make(chan struct{}), metrics: newMeasures()}
 	e.metrics.watchAges(e)
 	e.metrics.watchLog(losses)
 	socket, err := udp.Listen(settings.Packets)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -130,7 +130,7 @@
 
 // startWith runs the host with a log of its own.
 func (b *bed) startWith(log *slog.Logger, losses func() limitlog.Losses) {
-	host, err := New(b.settings(), log, losses)
+	host, err := New(b.settings(), "test", log, losses)
 	require.NoError(b.t, err)
 	leave, stopped := make(chan struct{}, 1), make(chan struct{})
 	b.leave, b.stopped = leave, stopped
--- /dev/null
+++ b/internal/edge/inspect.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+)
+
+// trafficState is what the traffic loop knows at a moment.
+type trafficState struct {
+	targets []steer.TargetState
+	flows   int
+}
+
+// inspect asks the traffic loop for its state; it alone may look at its engine.
+func (t *traffic) inspect() (trafficState, error) {
+	reply := make(chan trafficState, 1)
+	timeout := time.After(inspectTimeout)
+	select {
+	case t.inspections <- reply:
+		t.checker.wake()
+	case <-timeout:
+		return trafficState{}, errInspect()
+	}
+	select {
+	case state := <-reply:
+		return state, nil
+	case <-timeout:
+		return trafficState{}, errInspect()
+	}
+}
+
+func errInspect() error {
+	return oops.Code("traffic_busy").Errorf("the traffic loop did not answer within %s", inspectTimeout)
+}
+
+// answerInspections tells the state to those who asked.
+func (t *traffic) answerInspections() {
+	for {
+		select {
+		case reply := <-t.inspections:
+			reply <- trafficState{targets: t.engine.Targets(t.now), flows: t.engine.Flows()}
+		default:
+			return
+		}
+	}
+}
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -88,8 +88,8 @@
 
 // watchAges serves how old what is known of each kind is.
 func (m *measures) watchAges(e *Edge) {
-	m.set.NewGauge("guava_config_age_seconds", func() float64 { return e.age(&e.configRead) })
-	m.set.NewGauge("guava_targets_age_seconds", func() float64 { return e.age(&e.targetsRead) })
+	m.set.NewGauge("guava_config_age_seconds", func() float64 { return e.age(&e.configRead).Seconds() })
+	m.set.NewGauge("guava_targets_age_seconds", func() float64 { return e.age(&e.targetsRead).Seconds() })
 	m.set.NewGauge("guava_peers_asking", func() float64 { return float64(e.control.reads.askersCount()) })
 	m.set.NewGauge("guava_config_version", func() float64 { return float64(e.configVersion()) })
 }
@@ -100,9 +100,9 @@
 	m.set.NewGauge(`guava_log_lines_dropped_total{cause="reader"}`, func() float64 { return float64(losses().Reader) })
 }
 
-// age is the time since a read in seconds.
-func (e *Edge) age(readAt *atomic.Int64) float64 {
-	return (e.now() - time.Duration(readAt.Load())).Seconds()
+// age is the time since a read.
+func (e *Edge) age(readAt *atomic.Int64) time.Duration {
+	return e.now() - time.Duration(readAt.Load())
 }
 
 // Add counts a call to the store; it implements store.Counters. Names of the
--- /dev/null
+++ b/internal/edge/operator.go
@@ -0,0 +1,137 @@
+package edge
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+// inspectTimeout bounds the wait for the traffic loop, which is busy for no longer
+// than the packets of one read.
+const inspectTimeout = time.Second
+
+// operator is the net/rpc service that answers operators.
+type operator struct {
+	edge *Edge
+}
+
+func checkVersion(query edgeapi.Query) error {
+	if query.Version != edgeapi.Version {
+		return oops.Code("interface_version").Errorf("interface version differs: asked %d, served %d", query.Version, edgeapi.Version)
+	}
+	return nil
+}
+
+// Config tells the configuration in force.
+func (o *operator) Config(query edgeapi.Query, reply *edgeapi.ConfigReply) error {
+	if err := checkVersion(query); err != nil {
+		return err
+	}
+	e := o.edge
+	*reply = edgeapi.ConfigReply{Host: e.settings.Host, Version: e.configVersion(), Age: e.age(&e.configRead)}
+	view := e.view.Load()
+	if view == nil {
+		return nil
+	}
+	for _, entry := range view.Routes {
+		reply.Routes = append(reply.Routes, routeOf(entry))
+	}
+	slices.SortFunc(reply.Routes, func(a, b edgeapi.Route) int { return cmp.Compare(a.Name, b.Name) })
+	return nil
+}
+
+func routeOf(entry *catalog.RouteEntry) edgeapi.Route {
+	offered := 0
+	for _, share := range entry.Shares {
+		offered += len(share.Pool.Offered)
+	}
+	return edgeapi.Route{
+		Name: entry.Name, Address: entry.Address, Pools: entry.Pools,
+		Idempotent: entry.Idempotent, Priority: entry.Priority, Targets: offered,
+	}
+}
+
+// Targets tells the targets with what this host believes of them.
+func (o *operator) Targets(query edgeapi.Query, reply *edgeapi.TargetsReply) error {
+	if err := checkVersion(query); err != nil {
+		return err
+	}
+	e := o.edge
+	state, err := e.traffic.inspect()
+	if err != nil {
+		return err
+	}
+	*reply = edgeapi.TargetsReply{Host: e.settings.Host, Age: e.age(&e.targetsRead)}
+	view := e.view.Load()
+	if view == nil {
+		return nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(view.Pools)) {
+		if query.Pool != "" && query.Pool != id {
+			continue
+		}
+		for _, target := range view.Pools[id].All() {
+			reply.Targets = append(reply.Targets, targetOf(view.Pools[id], target, state.targets))
+		}
+	}
+	return nil
+}
+
+// targetOf tells one target of a pool.
+func targetOf(pool *catalog.Pool, target *catalog.Target, states []steer.TargetState) edgeapi.Target {
+	row := edgeapi.Target{
+		Name: target.Name, Pool: target.Pool, Domain: target.Domain, Address: target.Address,
+		State: edgeapi.StateLeft, Belief: edgeapi.BeliefUnseen,
+	}
+	switch {
+	case slices.Contains(pool.Offered, target):
+		row.State = edgeapi.StateOffered
+	case target.Draining:
+		row.State = edgeapi.StateDraining
+	}
+	at := slices.IndexFunc(states, func(s steer.TargetState) bool { return s.ID == target.ID })
+	if at < 0 {
+		return row
+	}
+	seen := states[at]
+	row.Belief = beliefOf(seen)
+	row.Missed, row.Silence, row.Open, row.Waiting = seen.Missed, seen.Silence, seen.Open, seen.Waiting
+	return row
+}
+
+func beliefOf(s steer.TargetState) edgeapi.Belief {
+	switch {
+	case s.Dead:
+		return edgeapi.BeliefSilent
+	case s.Checking:
+		return edgeapi.BeliefChecked
+	}
+	return edgeapi.BeliefAnswers
+}
+
+// Host tells how this host stands.
+func (o *operator) Host(query edgeapi.Query, reply *edgeapi.HostReply) error {
+	if err := checkVersion(query); err != nil {
+		return err
+	}
+	e := o.edge
+	state, err := e.traffic.inspect()
+	if err != nil {
+		return err
+	}
+	link := e.control.link.Load()
+	*reply = edgeapi.HostReply{
+		Host: e.settings.Host, Domain: e.settings.Domain, Build: e.build, Uptime: e.now(),
+		Ready: e.ready(), Leaving: e.leaving.Load(),
+		Config: e.configVersion(), ConfigAge: e.age(&e.configRead), TargetsAge: e.age(&e.targetsRead),
+		StoreAway: link.storeAway, Asks: link.peer, AskedBy: e.control.reads.askedBy(), Flows: state.flows,
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/operator_test.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/ctl"
+	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
+	"github.com/guavawharf/guavawharf/internal/transport/netrpc"
+)
+
+// guavactl runs a verb against hosts and returns its exit code, output and complaints.
+func guavactl(t *testing.T, options ctl.Options) (code int, out, complaints string) {
+	if options.Output == "" {
+		options.Output = ctl.OutputTable
+	}
+	options.Timeout = patience
+	var stdout, stderr bytes.Buffer
+	command := ctl.NewCommand(options, nil, netrpc.Call, &stdout, &stderr, time.Now)
+	code = command.Run(t.Context())
+	return code, stdout.String(), stderr.String()
+}
+
+func TestOperatorsSeeTheConfigurationInForce(t *testing.T) {
+	b := newBed(t)
+	b.target("i-2a00000001", "a")
+	b.start()
+	b.waitReady()
+	hosts := []string{b.settings().Control.String()}
+	code, out, complaints := guavactl(t, ctl.Options{Verb: ctl.VerbEdgeConfig, Hosts: hosts, Output: ctl.OutputJSON})
+	require.Equal(t, ctl.ExitInForce, code, complaints)
+	var replies []edgeapi.ConfigReply
+	require.NoError(t, json.Unmarshal([]byte(out), &replies))
+	require.Len(t, replies, 1)
+	require.EqualValues(t, 1, replies[0].Version)
+	require.Len(t, replies[0].Routes, 2)
+	require.Equal(t, feed, replies[0].Routes[0].Address)
+	require.Equal(t, 1, replies[0].Routes[0].Targets)
+	_, out, _ = guavactl(t, ctl.Options{Verb: ctl.VerbEdgeConfig, Hosts: hosts})
+	require.Contains(t, out, feed.String())
+}
+
+func TestOperatorsSeeWhatAHostBelievesOfItsTargets(t *testing.T) {
+	b := newBed(t)
+	dead := b.target("i-2a00000001", "a")
+	b.target("i-2a00000002", "a")
+	leaving := b.target("i-2a00000003", "a")
+	b.start()
+	b.eventually(func() bool { return b.logs.contains("i-2a00000003") && b.isReady() })
+	dead.Stop()
+	b.store.Put("servers", leaving.Name, leaving.Entry("taller", "a", "draining"))
+	for range 10 {
+		b.request(b.open())
+	}
+	hosts := []string{b.settings().Control.String()}
+	beliefs := func() map[string]edgeapi.Target {
+		_, out, _ := guavactl(t, ctl.Options{Verb: ctl.VerbEdgeTargets, Hosts: hosts, Output: ctl.OutputJSON})
+		var replies []edgeapi.TargetsReply
+		require.NoError(t, json.Unmarshal([]byte(out), &replies))
+		rows := make(map[string]edgeapi.Target)
+		for _, row := range replies[0].Targets {
+			rows[row.Name] = row
+		}
+		return rows
+	}
+	b.eventually(func() bool { return beliefs()[leaving.Name].State == edgeapi.StateDraining })
+	rows := beliefs()
+	require.Equal(t, edgeapi.BeliefSilent, rows[dead.Name].Belief)
+	require.Equal(t, edgeapi.BeliefAnswers, rows["i-2a00000002"].Belief)
+	require.Positive(t, rows["i-2a00000002"].Open)
+	_, out, _ := guavactl(t, ctl.Options{Verb: ctl.VerbEdgeTargets, Hosts: hosts, Pool: "another"})
+	require.NotContains(t, out, dead.Name)
+}
+
+func TestOperatorsFindAllHostsThroughASeed(t *testing.T) {
+	first := newBed(t)
+	first.target("i-2a00000001", "a")
+	first.start()
+	first.waitReady()
+	second, _ := beside(first)
+	second.start()
+	second.waitReady()
+	second.eventually(func() bool { return second.logs.contains("changes are asked of another host") })
+	seed := first.settings().Control.String()
+	options := ctl.Options{Verb: ctl.VerbEdgeHosts, Hosts: []string{seed}, All: true, Output: ctl.OutputJSON}
+	code, out, complaints := guavactl(t, options)
+	require.Equal(t, ctl.ExitInForce, code, complaints)
+	var replies []edgeapi.HostReply
+	require.NoError(t, json.Unmarshal([]byte(out), &replies))
+	require.Len(t, replies, 2)
+	require.True(t, replies[0].Ready)
+	require.False(t, replies[0].Asks.IsValid(), "the first reads the store")
+	require.Equal(t, seed, replies[1].Asks.String())
+	require.EqualValues(t, 1, replies[1].Config)
+}
+
+func TestAHostThatIsNotThereIsExitThree(t *testing.T) {
+	b := newBed(t)
+	for _, verb := range []ctl.Verb{ctl.VerbEdgeHosts, ctl.VerbEdgeConfig, ctl.VerbEdgeTargets} {
+		code, _, complaints := guavactl(t, ctl.Options{Verb: verb, Hosts: []string{b.settings().Control.String()}})
+		require.Equal(t, ctl.ExitUnknown, code)
+		require.Contains(t, complaints, "refused")
+	}
+}
+
+func TestAnotherInterfaceVersionIsRefused(t *testing.T) {
+	o := &operator{}
+	query := edgeapi.Query{Version: edgeapi.Version + 1}
+	require.ErrorContains(t, o.Config(query, nil), "version")
+	require.ErrorContains(t, o.Targets(query, nil), "version")
+	require.ErrorContains(t, o.Host(query, nil), "version")
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,9 +10,11 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/peers"
+	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
 	"github.com/guavawharf/guavawharf/internal/protocol/peerapi"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 	"github.com/guavawharf/guavawharf/internal/state/replica"
+	"github.com/guavawharf/guavawharf/internal/transport/netrpc"
 	"github.com/guavawharf/guavawharf/internal/transport/peerlink"
 )
 
@@ -41,7 +43,8 @@
 		r.replicas[kind] = replica.New()
 	}
 	var err error
-	r.server, err = peerlink.Listen(e.settings.Control, r)
+	operators := netrpc.Service{Name: edgeapi.Service, Receiver: &operator{edge: e}}
+	r.server, err = peerlink.Listen(e.settings.Control, r, operators)
 	return r, err
 }
 
@@ -110,6 +113,13 @@
 	return r.askers.Count(r.edge.now())
 }
 
+// askedBy returns the hosts that asked lately.
+func (r *reads) askedBy() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.askers.Hosts(r.edge.now())
+}
+
 // close ends the answers.
 func (r *reads) close() { r.server.Close() }
 
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -38,15 +38,17 @@
 
 // traffic forwards packets in one goroutine.
 type traffic struct {
-	edge     *Edge
-	socket   *udp.Socket
-	reader   *udp.Reader[*slot]
-	writer   *udp.Writer
-	engine   *steer.Engine
-	view     *catalog.View
-	checker  *checker
-	verdicts []steer.Verdict
-	now      time.Duration
+	edge    *Edge
+	socket  *udp.Socket
+	reader  *udp.Reader[*slot]
+	writer  *udp.Writer
+	engine  *steer.Engine
+	view    *catalog.View
+	checker *checker
+	// inspections are questions for the loop's state.
+	inspections chan chan trafficState
+	verdicts    []steer.Verdict
+	now         time.Duration
 	// wake is the read deadline that was set last.
 	wake time.Duration
 }
@@ -57,12 +59,13 @@
 		return nil, err
 	}
 	return &traffic{
-		checker: checker,
-		edge:    e,
-		socket:  socket,
-		reader:  udp.NewReader(socket, func() *slot { return new(slot) }),
-		writer:  udp.NewWriter(socket),
-		engine:  engine,
+		checker:     checker,
+		inspections: make(chan chan trafficState, 1),
+		edge:        e,
+		socket:      socket,
+		reader:      udp.NewReader(socket, func() *slot { return new(slot) }),
+		writer:      udp.NewWriter(socket),
+		engine:      engine,
 	}, nil
 }
 
@@ -80,6 +83,7 @@
 		err := t.reader.Read(t.take)
 		t.now = t.edge.now()
 		t.takeChecked()
+		t.answerInspections()
 		switch {
 		case err == nil && settling:
 			// What had arrived is read; more may always come.
@@ -112,7 +116,7 @@
 	if settling {
 		wake = now + settleTime
 	}
-	if wake >= t.wake && t.wake > now && len(t.checker.results) == 0 {
+	if wake >= t.wake && t.wake > now && !t.asked() {
 		// The deadline set before ends the read early enough.
 		return
 	}
@@ -120,12 +124,15 @@
 	if err := t.socket.StopReading(t.edge.start.Add(wake)); err != nil && !isClosed(err) {
 		t.edge.log.Error("read deadline not set", "error", err.Error())
 	}
-	if len(t.checker.results) > 0 {
-		// A result that came just now has been overlooked by the last pass.
+	if t.asked() {
+		// What came just now has been overlooked by the last pass.
 		t.checker.wake()
 	}
 }
 
+// asked tells that results of checks or questions wait.
+func (t *traffic) asked() bool { return len(t.checker.results)+len(t.inspections) > 0 }
+
 // takeChecked hands the results of checks to the engine.
 func (t *traffic) takeChecked() {
 	for {
--- a/internal/state/catalog/view.go
+++ b/internal/state/catalog/view.go
@@ -1,7 +1,10 @@
 package catalog
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -17,6 +20,11 @@
 // Target returns the target that a cookie names, or nil.
 func (p *Pool) Target(cookie Cookie) *Target { return p.targets[cookie] }
 
+// All returns every target that may have open flows, in the order of their names.
+func (p *Pool) All() []*Target {
+	return slices.SortedFunc(maps.Values(p.targets), func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Share is a pool with its share of a route's new flows.
 type Share struct {
 	Pool   *Pool
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -38,10 +38,11 @@
 	listener net.Listener
 }
 
-// Listen opens the address that other hosts ask at. Nothing is answered before Serve.
-func Listen(address netip.AddrPort, reader Reader) (*Server, error) {
-	service := netrpc.Service{Name: peerapi.Service, Receiver: &reads{reader: reader}}
-	server, err := netrpc.NewServer(netrpc.ServerSettings{MaxConnections: maxConnections}, service)
+// Listen opens the address that other hosts ask at; further services are served
+// there, too. Nothing is answered before Serve.
+func Listen(address netip.AddrPort, reader Reader, further ...netrpc.Service) (*Server, error) {
+	services := append(further, netrpc.Service{Name: peerapi.Service, Receiver: &reads{reader: reader}})
+	server, err := netrpc.NewServer(netrpc.ServerSettings{MaxConnections: maxConnections}, services...)
 	if err != nil {
 		return nil, err
 	}
