Tell other hosts no large answers

Its packets and the checks of targets stood in the same queue for over 0.6 s; two checks of a living target failed within 150 ms and its flows were reset. Change: changes of more than 20 KB, and pages of lists of more than 128 KB, are not told; the store is asked at once, and the host stays of use. Pages have 50 objects instead of 200. Not mended here: a check still takes a queue of the host's own for a target's silence.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -41,6 +41,7 @@
 	metrics netip.AddrPort
 	logs    *logBuffer
 	seeds   []netip.AddrPort
+	running *Edge
 	leave   chan struct{}
 	stopped chan struct{}
 }
@@ -132,6 +133,7 @@
 func (b *bed) startWith(log *slog.Logger, losses func() limitlog.Losses) {
 	host, err := New(b.settings(), "test", log, losses)
 	require.NoError(b.t, err)
+	b.running = host
 	leave, stopped := make(chan struct{}, 1), make(chan struct{})
 	b.leave, b.stopped = leave, stopped
 	go func() {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -18,6 +18,16 @@
 	"github.com/guavawharf/guavawharf/internal/transport/peerlink"
 )
 
+// Bounds of one answer to another host in bytes.
+const (
+	// maxChanges is that of an answer about changes: 24 hosts that ask within the
+	// same 2 s take up a fifth of a link of 10 Mbit/s at most.
+	maxChanges = 20 << 10
+	// maxList is that of a page of a list, which few hosts ask for at a time: those
+	// that started while the store was away.
+	maxList = 128 << 10
+)
+
 // reads answers other hosts what this one has read from the store.
 type reads struct {
 	edge     *Edge
@@ -74,13 +84,14 @@
 	if known == nil {
 		return peerapi.Answer{}
 	}
-	var answer replica.Answer
+	answer, limit := known.Since(read.After, bootTime()), maxChanges
 	if read.List {
-		answer = known.List(read.Key, bootTime())
-	} else {
-		answer = known.Since(read.After, bootTime())
+		answer, limit = known.List(read.Key, bootTime()), maxList
 	}
 	r.edge.metrics.question(answer.Known)
+	if size(answer.Page) > limit {
+		return peerapi.Answer{TooLarge: true}
+	}
 	return peerapi.Answer{
 		Known: answer.Known,
 		Age:   answer.Age,
@@ -89,6 +100,15 @@
 	}
 }
 
+// size is about what a page takes on the wire, in bytes.
+func size(page objects.Page) int {
+	bytes := 0
+	for _, object := range page.Objects {
+		bytes += len(object.Key) + len(object.Value)
+	}
+	return bytes
+}
+
 // note remembers that a host asked and returns the host that it is to ask instead.
 func (r *reads) note(now time.Duration, host netip.AddrPort) netip.AddrPort {
 	r.mu.Lock()
@@ -189,6 +209,9 @@
 	switch {
 	case !behind:
 		c.usePeer(now, a)
+	case a.told.TooLarge:
+		// The host is of use for what comes after this.
+		c.chooser.Useful(now, a.peer, a.instead)
 	case a.outcome.Result == objects.ResultOK:
 		c.chooser.Stale(now, a.peer)
 		c.losePeer(a, "what it told is too old")
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavawharf/guavawharf/internal/protocol/peerapi"
+	"github.com/guavawharf/guavawharf/platform"
 	"github.com/guavawharf/guavawharf/platform/platformtest"
 )
 
@@ -52,6 +54,31 @@
 	require.LessOrEqual(t, access.Calls()-before, 2, "at most one that the first host's pause made")
 }
 
+// A configuration of 1,735 routes, told to every host that asked, filled the link of a
+// small host; its packets and checks stood in the queue, and it took living targets
+// for dead (huaman-retratos-grown trouble-1).
+func TestALargeConfigurationIsNotToldToOtherHosts(t *testing.T) {
+	first := newBed(t)
+	first.target("i-2a00000001", "a")
+	first.start()
+	first.waitReady()
+	second, access := beside(first)
+	second.start()
+	second.waitReady()
+	second.eventually(func() bool { return second.logs.contains("changes are asked of another host") })
+	addresses := []netip.AddrPort{feed}
+	for port := range uint16(maxList / 50) {
+		addresses = append(addresses, netip.AddrPortFrom(removed.Addr(), 10_000+port))
+	}
+	before := access.Calls()
+	first.configure(3, addresses...)
+	second.eventually(func() bool { return second.logs.contains("config=3") })
+	require.Greater(t, access.Calls(), before, "read from the store")
+	answer := first.running.control.reads.answer(0, peerapi.Read{Kind: platform.KindConfig, List: true})
+	require.True(t, answer.TooLarge)
+	require.Empty(t, answer.Page.Objects)
+}
+
 func TestAHostThatTheStoreTurnsAwayIsKeptCurrentByAnother(t *testing.T) {
 	first := newBed(t)
 	first.target("i-2a00000001", "a")
--- a/internal/protocol/peerapi/peerapi.go
+++ b/internal/protocol/peerapi/peerapi.go
@@ -50,6 +50,9 @@
 type Answer struct {
 	// Known is unset if the host can't tell; the objects then are not known.
 	Known bool
+	// TooLarge is set in place of Known if the answer would fill the host's link: the
+	// store has to be asked.
+	TooLarge bool
 	// Age is the time since the read that the answer comes from was asked for,
 	// suspensions of the host included.
 	Age  time.Duration
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// maxPage bounds the objects of one answer: some 350 bytes each, they take less
-	// than 0.1 s on a link of 10 Mbit/s.
-	maxPage = 200
+	// maxPage bounds the objects of one answer: entries of targets take some 350 bytes
+	// each, and a host with a small link has many others to answer.
+	maxPage = 50
 	// maxGone bounds the deletions that are remembered.
 	maxGone = 4096
 )
