Take silence for a target's only while a witness answers

Cause: the checks took any silence of 2 x 60 ms for the target's. Change: the attempt that decides runs beside connections to the two targets that answered last, one of the own failure domain. If none of them connects either, and targets have been seen to answer flows since 150 ms before the check, the silence proves nothing and the target is checked again at once; if nothing was answered, the host is cut off and the silence counts as before. Tests: the checker with and without a witness; ten checks without one while another flow goes on change no belief and reset nothing, one more after the answers stop does.

--- a/internal/coordination/steer/bed_test.go
+++ b/internal/coordination/steer/bed_test.go
@@ -175,7 +175,11 @@
 func (b *bed) check(alive func(catalog.TargetID) bool) (checked int) {
 	for _, check := range b.engine.TakeChecks() {
 		checked++
-		b.engine.Checked(b.now, check.Target, alive(check.Target))
+		proof := ProofGone
+		if alive(check.Target) {
+			proof = ProofAlive
+		}
+		b.engine.Checked(b.now, check.Target, proof)
 	}
 	return checked
 }
--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -68,9 +68,9 @@
 }
 
 // Checked takes the result of a check.
-func (e *Engine) Checked(now time.Duration, target catalog.TargetID, alive bool) {
+func (e *Engine) Checked(now time.Duration, target catalog.TargetID, proof Proof) {
 	r := e.records.targets[target]
-	if r == nil || !e.records.checked(now, r, alive) {
+	if r == nil || !e.records.checked(now, r, proof) {
 		return
 	}
 	for _, f := range e.flows {
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -199,7 +200,7 @@
 	checks := b.engine.TakeChecks()
 	require.Len(t, checks, 1)
 	require.Equal(t, first.Name, checks[0].Name, "its address may be another's by now")
-	b.engine.Checked(b.now, checks[0].Target, true)
+	b.engine.Checked(b.now, checks[0].Target, ProofAlive)
 	b.establishAt(feedAddress, first.Name)
 }
 
@@ -357,3 +358,49 @@
 		require.Zero(t, r.offers+r.waiting+r.open, r.name)
 	}
 }
+
+// The host's own link may hold packets up; a target that answered lately shows that
+// it does not.
+func TestACheckNamesWitnessesThatAnsweredLast(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"), order(3, "a"), order(4, "b"), order(5, "b"))
+	for _, name := range []string{"t2", "t3", "t4", "t5"} {
+		b.now += 10 * time.Millisecond
+		b.establishAt(feedAddress, name)
+	}
+	r := b.engine.records.targets[order(1, "a").ID]
+	b.engine.records.targets[order(5, "b").ID].dead = true
+	witnesses := b.engine.records.witnesses(r)
+	require.Equal(t, []netip.AddrPort{order(3, "a").Address, order(4, "b").Address}, witnesses)
+}
+
+// The host's link is full: nobody connects in time, though answers to what was sent
+// before still show. No flow is reset and no target believed dead, however often it is
+// checked; once nothing is answered any more, the host is cut off.
+func TestSilenceOfAllProvesNothingWhileAnswersAreSeen(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	other := b.establishAt(feedAddress, "t2")
+	c.request()
+	other.request()
+	b.now += 200 * time.Millisecond
+	c.again()
+	for range 10 {
+		checks := b.engine.TakeChecks()
+		require.Len(t, checks, 1, "checked again at once")
+		other.answered()
+		other.request()
+		b.now += 120 * time.Millisecond
+		b.engine.Checked(b.now, checks[0].Target, ProofSilent)
+		require.Empty(t, b.engine.TakeBeliefs())
+		require.Empty(t, b.engine.Due(b.now, nil))
+	}
+	for range 3 {
+		for _, check := range b.engine.TakeChecks() {
+			b.now += 120 * time.Millisecond
+			b.engine.Checked(b.now, check.Target, ProofSilent)
+		}
+	}
+	beliefs := b.engine.TakeBeliefs()
+	require.Len(t, beliefs, 1)
+	require.True(t, beliefs[0].Dead)
+}
--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -28,9 +28,10 @@
 	lastAnswer time.Duration
 	// missed counts openings and repeats in a row without an answer.
 	missed int
-	// checking tells that a check of the target's address runs; nextCheck is when
-	// the next may start.
+	// checking tells that a check of the target's address runs, since began; nextCheck
+	// is when the next may start.
 	checking  bool
+	began     time.Duration
 	nextCheck time.Duration
 	// dead tells that a check failed; confirmed is when the last one did.
 	dead      bool
@@ -96,6 +97,8 @@
 	beliefs []Belief
 	// dead is the number of targets that failed their check.
 	dead int
+	// lastAnswer is when any target was last seen to answer.
+	lastAnswer time.Duration
 }
 
 func newRecords(own state.DomainID) records {
@@ -127,6 +130,7 @@
 func (rs *records) answered(now time.Duration, r *record) {
 	r.lastAnswer = now
 	r.missed = 0
+	rs.lastAnswer = now
 }
 
 // missedOne notes that an opening or data at a target stayed without an answer,
@@ -142,20 +146,48 @@
 		return
 	}
 	r.checking = true
-	check := Check{Target: r.id, Address: r.address, HealthPath: r.healthPath}
+	r.began = now
+	check := Check{Target: r.id, Address: r.address, HealthPath: r.healthPath, Witnesses: rs.witnesses(r)}
 	if r.dead {
 		check.Name = r.name
 	}
 	rs.checks = append(rs.checks, check)
 }
 
+// witnesses returns the addresses of targets that answered last, one of the own
+// failure domain and one of another.
+func (rs *records) witnesses(checked *record) []netip.AddrPort {
+	var own, remote *record
+	for _, r := range rs.targets {
+		switch {
+		case r == checked || r.dead || r.missed > 0:
+		case r.own && (own == nil || r.lastAnswer > own.lastAnswer):
+			own = r
+		case !r.own && (remote == nil || r.lastAnswer > remote.lastAnswer):
+			remote = r
+		}
+	}
+	var addresses []netip.AddrPort
+	for _, r := range []*record{own, remote} {
+		if r != nil {
+			addresses = append(addresses, r.address)
+		}
+	}
+	return addresses
+}
+
 // checked takes the result of a check and tells whether the target turned out
 // to be gone.
-func (rs *records) checked(now time.Duration, r *record, alive bool) (turnedDead bool) {
+func (rs *records) checked(now time.Duration, r *record, proof Proof) (turnedDead bool) {
 	r.checking = false
+	if proof == ProofSilent && rs.linkWorks(r) {
+		r.nextCheck = now
+		rs.check(now, r)
+		return false
+	}
 	r.nextCheck = now + checkInterval
 	quiet := now - r.lastAnswer
-	if alive {
+	if proof == ProofAlive {
 		rs.answered(now, r)
 		if r.dead {
 			rs.revive(r)
@@ -174,6 +206,11 @@
 	return true
 }
 
+// linkWorks tells that targets have answered since shortly before the check of one
+// began, though neither it nor a witness connected: the host is not cut off, so its own
+// link holds packets up, and the silence proves nothing.
+func (rs *records) linkWorks(r *record) bool { return rs.lastAnswer > r.began-answerWindow }
+
 // revive ends the belief that a target is dead.
 func (rs *records) revive(r *record) {
 	if r.dead {
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -122,4 +122,22 @@
 	Name string
 	// HealthPath is where a target tells its name over HTTP.
 	HealthPath string
+	// Witnesses are addresses of targets that answered lately, one in the own failure
+	// domain and one in another where there are any.
+	Witnesses []netip.AddrPort
 }
+
+// Proof is the result of a check.
+type Proof uint8
+
+// Proofs.
+const (
+	// ProofAlive tells that the target answered, or can't be shown not to.
+	ProofAlive Proof = iota
+	// ProofGone tells that the target refused, is another, or was silent while a
+	// witness answered.
+	ProofGone
+	// ProofSilent tells that neither the target nor a witness answered: the host may be
+	// cut off, or its own link holds its packets up.
+	ProofSilent
+)
--- a/internal/edge/checker.go
+++ b/internal/edge/checker.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -45,7 +46,7 @@
 // checkResult is the outcome of a check.
 type checkResult struct {
 	target catalog.TargetID
-	alive  bool
+	proof  steer.Proof
 }
 
 // checker connects to targets that seem not to answer.
@@ -69,7 +70,7 @@
 func (c *checker) start(check steer.Check) bool {
 	c.edge.metrics.checks.Inc()
 	err := c.pool.Submit(func() {
-		c.results <- checkResult{target: check.Target, alive: connects(check, attempt)}
+		c.results <- checkResult{target: check.Target, proof: prove(check, overNetwork)}
 		c.wake()
 	})
 	if err != nil {
@@ -85,31 +86,71 @@
 	}
 }
 
-// connects tells whether the target answers, or can't be shown not to.
-func connects(check steer.Check, attempt func(steer.Check) (bool, error)) bool {
+// probe is how targets are tried; tests have others.
+type probe struct {
+	// attempt tries a target once.
+	attempt func(steer.Check) (alive bool, err error)
+	// reaches tells whether any of the addresses connects within checkTimeout.
+	reaches func([]netip.AddrPort) bool
+}
+
+var overNetwork = probe{attempt: attempt, reaches: reaches}
+
+// prove tells whether the target answers, can't be shown not to, or is silent. The
+// witnesses are asked while the attempt runs that decides.
+func prove(check steer.Check, p probe) steer.Proof {
 	failures := 0
 	for range maxAttempts {
-		alive, err := attempt(check)
+		deciding := failures == failuresNeeded-1
+		witnessed := make(chan bool, 1)
+		if deciding {
+			go func() { witnessed <- p.reaches(check.Witnesses) }()
+		}
+		alive, err := p.attempt(check)
 		switch {
-		case err == nil:
-			return alive
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return false
+		case err == nil && alive:
+			return steer.ProofAlive
+		case err == nil, errors.Is(err, syscall.ECONNREFUSED):
+			return steer.ProofGone
 		case errors.Is(err, errHeldUp):
 			continue
 		}
 		failures++
-		if failures == failuresNeeded {
-			return false
+		if !deciding {
+			continue
+		}
+		if <-witnessed {
+			return steer.ProofGone
+		}
+		return steer.ProofSilent
+	}
+	return steer.ProofAlive
+}
+
+// reaches implements probe. Without an address there is no witness to ask.
+func reaches(addresses []netip.AddrPort) bool {
+	connected := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			conn, err := connect(address, checkTimeout)
+			if err == nil {
+				_ = conn.Close()
+			}
+			connected <- err == nil || errors.Is(err, syscall.ECONNREFUSED)
+		}()
+	}
+	for range addresses {
+		if <-connected {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // attempt opens a connection and asks for the target's name if it matters. An
 // address that connects and then stays silent is that of a busy target.
 func attempt(check steer.Check) (alive bool, err error) {
-	conn, err := connect(check)
+	conn, err := connect(check.Address, checkTimeout)
 	if err != nil {
 		return false, err
 	}
@@ -121,17 +162,17 @@
 	return err != nil || name == check.Name, nil
 }
 
-// connect opens a connection within checkTimeout. It waits in steps: a host that
-// gets no processor time would take its own time-out for the target's silence.
-func connect(check steer.Check) (net.Conn, error) {
+// connect opens a connection within a time. It waits in steps: a host that gets no
+// processor time would take its own time-out for the target's silence.
+func connect(address netip.AddrPort, limit time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	dialed := make(chan dialResult, 1)
 	go func() {
-		conn, err := new(net.Dialer).DialContext(ctx, "tcp", check.Address.String())
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
 		dialed <- dialResult{conn: conn, err: err}
 	}()
-	result, err := await(dialed, time.After)
+	result, err := await(dialed, limit, time.After)
 	if err != nil {
 		go closeLate(dialed)
 		return nil, err
@@ -145,9 +186,9 @@
 	err  error
 }
 
-// await returns the result if it comes within checkTimeout.
-func await(dialed <-chan dialResult, after func(time.Duration) <-chan time.Time) (dialResult, error) {
-	for range checkTimeout / checkStep {
+// await returns the result if it comes within a time, a multiple of checkStep.
+func await(dialed <-chan dialResult, limit time.Duration, after func(time.Duration) <-chan time.Time) (dialResult, error) {
+	for range limit / checkStep {
 		began := time.Now()
 		select {
 		case result := <-dialed:
--- a/internal/edge/checker_test.go
+++ b/internal/edge/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -27,39 +28,52 @@
 }
 
 // A host that got no processor time took its own timeouts for a target's silence
-// and reset a flow at it (hanbit-gw trouble-2, with a loop that never slept).
+// and reset a flow at it (hanbit-gw trouble-2, with a loop that never slept). Silence
+// proves nothing either while no witness answers: the host's own link may be full
+// (huaman-retratos-grown trouble-1).
 func TestAHostThatIsHeldUpProvesNothing(t *testing.T) {
 	for name, c := range map[string]struct {
-		attempt func(steer.Check) (bool, error)
-		alive   bool
+		attempt   func(steer.Check) (bool, error)
+		witnessed bool
+		proof     steer.Proof
 	}{
-		"answers":              {attempts(time.Millisecond, nil), true},
-		"refuses":              {attempts(time.Millisecond, syscall.ECONNREFUSED), false},
-		"silent":               {attempts(checkTimeout, errSilent), false},
-		"one packet lost":      {attempts(checkTimeout, errSilent, nil), true},
-		"host held up":         {attempts(checkTimeout, errHeldUp), true},
-		"held up, then silent": {attempts(checkTimeout, errHeldUp, errSilent), false},
-		"no route, told early": {attempts(time.Millisecond, errors.New("no route to host")), false},
+		"answers":              {attempts(time.Millisecond, nil), false, steer.ProofAlive},
+		"refuses":              {attempts(time.Millisecond, syscall.ECONNREFUSED), false, steer.ProofGone},
+		"silent":               {attempts(checkTimeout, errSilent), true, steer.ProofGone},
+		"silent as all others": {attempts(checkTimeout, errSilent), false, steer.ProofSilent},
+		"one packet lost":      {attempts(checkTimeout, errSilent, nil), true, steer.ProofAlive},
+		"host held up":         {attempts(checkTimeout, errHeldUp), true, steer.ProofAlive},
+		"held up, then silent": {attempts(checkTimeout, errHeldUp, errSilent), true, steer.ProofGone},
+		"no route, told early": {attempts(time.Millisecond, errors.New("no route to host")), true, steer.ProofGone},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				require.Equal(t, c.alive, connects(steer.Check{}, c.attempt))
+				reaches := func([]netip.AddrPort) bool { return c.witnessed }
+				require.Equal(t, c.proof, prove(steer.Check{}, probe{attempt: c.attempt, reaches: reaches}))
 			})
 		})
 	}
 }
 
+func TestAWitnessAnswersByTakingAConnection(t *testing.T) {
+	b := newBed(t)
+	target := b.target("i-2a00000001", "a")
+	nobody := netip.AddrPortFrom(netip.MustParseAddr("203.0.113.1"), 9)
+	require.True(t, reaches([]netip.AddrPort{nobody, target.Address}))
+	require.False(t, reaches(nil))
+}
+
 // On huaman-retratos-grown trouble-1, seed 302378754711, a flow of a living target
 // was reset once, beside other load: a host of 0.06 of a core that reads a large
 // configuration stands still for longer than an attempt takes.
 func TestOnlyAHostThatRanAllTheWhileFindsSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		_, err := await(make(chan dialResult), time.After)
+		_, err := await(make(chan dialResult), checkTimeout, time.After)
 		require.ErrorIs(t, err, errSilent)
 		require.Equal(t, checkTimeout, time.Since(began))
 
-		_, err = await(make(chan dialResult), func(d time.Duration) <-chan time.Time {
+		_, err = await(make(chan dialResult), checkTimeout, func(d time.Duration) <-chan time.Time {
 			return time.After(d + stepMargin + time.Millisecond)
 		})
 		require.ErrorIs(t, err, errHeldUp)
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -138,7 +138,7 @@
 	for {
 		select {
 		case result := <-t.checker.results:
-			t.engine.Checked(t.now, result.target, result.alive)
+			t.engine.Checked(t.now, result.target, result.proof)
 		default:
 			return
 		}
@@ -228,7 +228,7 @@
 	}
 	for _, check := range t.engine.TakeChecks() {
 		if !t.checker.start(check) {
-			t.engine.Checked(t.now, check.Target, true)
+			t.engine.Checked(t.now, check.Target, steer.ProofAlive)
 		}
 	}
 	if t.engine.TakeReadWanted() {
