Count the silence of all targets only after one second

Ruled out: witnesses that answer (every false belief came from silence of all). Change: a host counts as cut off when no target has answered for 1 s.

--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -28,10 +28,9 @@
 	lastAnswer time.Duration
 	// missed counts openings and repeats in a row without an answer.
 	missed int
-	// checking tells that a check of the target's address runs, since began; nextCheck
-	// is when the next may start.
+	// checking tells that a check of the target's address runs; nextCheck is when
+	// the next may start.
 	checking  bool
-	began     time.Duration
 	nextCheck time.Duration
 	// dead tells that a check failed; confirmed is when the last one did.
 	dead      bool
@@ -146,7 +145,6 @@
 		return
 	}
 	r.checking = true
-	r.began = now
 	check := Check{Target: r.id, Address: r.address, HealthPath: r.healthPath, Witnesses: rs.witnesses(r)}
 	if r.dead {
 		check.Name = r.name
@@ -180,7 +178,7 @@
 // to be gone.
 func (rs *records) checked(now time.Duration, r *record, proof Proof) (turnedDead bool) {
 	r.checking = false
-	if proof == ProofSilent && rs.linkWorks(r) {
+	if proof == ProofSilent && !rs.cutOff(now) {
 		r.nextCheck = now
 		rs.check(now, r)
 		return false
@@ -206,10 +204,10 @@
 	return true
 }
 
-// linkWorks tells that targets have answered since shortly before the check of one
-// began, though neither it nor a witness connected: the host is not cut off, so its own
-// link holds packets up, and the silence proves nothing.
-func (rs *records) linkWorks(r *record) bool { return rs.lastAnswer > r.began-answerWindow }
+// cutOff tells that no target has been seen to answer for so long that the host is cut
+// off. Until then its own link may hold its packets up, and a silence that no witness
+// breaks proves nothing.
+func (rs *records) cutOff(now time.Duration) bool { return now-rs.lastAnswer >= cutOffAfter }
 
 // revive ends the belief that a target is dead.
 func (rs *records) revive(r *record) {
--- a/internal/coordination/steer/settings.go
+++ b/internal/coordination/steer/settings.go
@@ -29,9 +29,9 @@
 	// evidenceLifetime bounds the age of a failed check that flows are reset by.
 	// It is well below the 4 s for which a healed link still counts as disturbed.
 	evidenceLifetime = 1500 * time.Millisecond
-	// answerWindow is how long before a check an answer still shows that the host is not
-	// cut off: a small host sees some 20 answers a second.
-	answerWindow = 150 * time.Millisecond
+	// cutOffAfter is the time without any target's answer after which a host counts as
+	// cut off. Packets stand in the queue of a full link for half a second and more.
+	cutOffAfter = time.Second
 	// repeatSpacing tells a client's repeat, which comes after 200 ms, from copies
 	// that the host itself held up.
 	repeatSpacing = 100 * time.Millisecond
