Do not take an overloaded target's silence for its end

A refusal counts at once. A client that acknowledges again shows that its target lives, not that it is gone. Belief and placing are as before.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -15,7 +15,7 @@
 type Engine struct {
 	view    *catalog.View
 	random  Random
-	records records
+	records *records
 	flows   map[state.FlowKey]*flow
 	// openings wait for an answer.
 	openings  map[state.FlowKey]*flow
@@ -70,7 +70,14 @@
 // Checked takes the result of a check.
 func (e *Engine) Checked(now time.Duration, target catalog.TargetID, proof Proof) {
 	r := e.records.targets[target]
-	if r == nil || !e.records.checked(now, r, proof) {
+	if r != nil && e.records.checked(now, r, proof) {
+		e.resetHopeless(now, r)
+	}
+}
+
+// resetHopeless ends the flows that wait for a target that is gone.
+func (e *Engine) resetHopeless(now time.Duration, r *record) {
+	if !r.gone(now) {
 		return
 	}
 	for _, f := range e.flows {
@@ -190,13 +197,17 @@
 	case progressAnswered:
 		e.records.answered(now, f.record)
 	case progressRepeated:
-		e.records.missedOne(now, f.record)
+		e.records.missedOne(now, f.record, true)
+	case progressTargetRepeats:
+		e.records.missedOne(now, f.record, false)
 	}
 	newRequest := f.waiting && !wasWaiting
 	if !f.hopeless(now) && !(newRequest && f.record.gone(now)) {
 		return true
 	}
 	e.forget(key)
+	// What this flow has shown holds for the others there.
+	e.resetHopeless(now, f.record)
 	return false
 }
 
@@ -249,6 +260,7 @@
 		return
 	}
 	e.nextSweep = now + sweepInterval
+	e.records.all.sample()
 	idle := defaultIdle
 	if e.view != nil && e.view.IdleTimeout > 0 {
 		idle = e.view.IdleTimeout
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -407,3 +407,38 @@
 	require.Len(t, beliefs, 1)
 	require.True(t, beliefs[0].Dead)
 }
+
+// Under five times the usual traffic targets took no connection within a check, though
+// they went on answering; their open flows were reset (huaman-retratos, a day of our
+// own, FLOW). A request that the target has taken is not repeated, so it is no sign.
+func TestABusyTargetThatTakesNoConnectionKeepsItsFlows(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	other := b.establishAt(feedAddress, "t1")
+	c.request()
+	other.request()
+	b.now += 30 * time.Millisecond
+	r := b.engine.records.targets[order(1, "a").ID]
+	b.engine.records.missedOne(b.now, r, false)
+	b.now += 120 * time.Millisecond
+	require.Equal(t, 1, b.check(nobody))
+	require.Empty(t, b.engine.Due(b.now, nil), "an opening that was not taken, and no connection")
+	require.Len(t, b.engine.TakeBeliefs(), 1, "new flows go elsewhere")
+	b.now += 100 * time.Millisecond
+	require.Equal(t, ActionReset, c.again().Action, "data is acknowledged at once by a target that lives")
+	resets := b.engine.Due(b.now, nil)
+	require.Len(t, resets, 1, "the other request at this target")
+	require.Equal(t, other.client, resets[0].Client)
+}
+
+func TestARefusingTargetsFlowsAreResetAtOnce(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	c := b.establishAt(feedAddress, "t1")
+	c.request()
+	r := b.engine.records.targets[order(1, "a").ID]
+	b.engine.records.missedOne(b.now, r, false)
+	for _, check := range b.engine.TakeChecks() {
+		b.engine.Checked(b.now, check.Target, ProofRefused)
+	}
+	require.Len(t, b.engine.Due(b.now, nil), 1)
+}
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -58,8 +58,11 @@
 	progressNone progress = iota
 	// progressAnswered says that the target has sent something new.
 	progressAnswered
-	// progressRepeated says that the client had to repeat itself.
+	// progressRepeated says that the client had to repeat its data.
 	progressRepeated
+	// progressTargetRepeats says that the target repeated what the client has
+	// acknowledged: it lives, and may be beyond a cut.
+	progressTargetRepeats
 )
 
 // took notes a packet of an open flow.
@@ -83,9 +86,8 @@
 		f.settle()
 		return progressAnswered
 	}
-	if quiet >= repeatSpacing {
-		// The target repeated what this client has acknowledged.
-		return f.tookRepeat(now)
+	if quiet >= repeatSpacing && f.tookRepeat(now) == progressRepeated {
+		return progressTargetRepeats
 	}
 	return progressNone
 }
@@ -101,6 +103,7 @@
 	if !f.waiting {
 		f.waiting = true
 		f.record.waiting++
+		f.record.all.waiting++
 	}
 	f.lastRepeat = now
 	f.repeats = 0
@@ -123,6 +126,7 @@
 	if f.waiting {
 		f.waiting = false
 		f.record.waiting--
+		f.record.all.waiting--
 	}
 	f.repeats = 0
 }
--- a/internal/coordination/steer/opening.go
+++ b/internal/coordination/steer/opening.go
@@ -47,7 +47,7 @@
 func (e *Engine) reoffer(now time.Duration, f *flow) Verdict {
 	o := f.opening
 	if n := len(o.tried); n > 0 {
-		e.records.missedOne(now, o.tried[n-1])
+		e.records.missedOne(now, o.tried[n-1], false)
 	}
 	return e.offer(now, f, ReasonOfferedAgain)
 }
--- a/internal/coordination/steer/place_test.go
+++ b/internal/coordination/steer/place_test.go
@@ -132,9 +132,12 @@
 			waiting[f.record]++
 		}
 	}
+	total := 0
 	for _, r := range e.records.targets {
+		total += r.waiting
 		require.Equal(t, []int{open[r], waiting[r], offers[r]}, []int{r.open, r.waiting, r.offers}, r.name)
 	}
+	require.Equal(t, total, e.records.all.waiting)
 }
 
 func benchmarkEstablished(b *testing.B, targets int) {
--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -26,24 +26,39 @@
 	open int
 	// lastAnswer is when the target was last seen to answer.
 	lastAnswer time.Duration
-	// missed counts openings and repeats in a row without an answer.
-	missed int
+	// missed counts openings and repeats in a row without an answer; missedData tells
+	// that there was a repeat among them.
+	missed     int
+	missedData bool
+	// beyondCut tells that another target of the same remote failure domain is gone.
+	beyondCut bool
 	// checking tells that a check of the target's address runs; nextCheck is when
 	// the next may start.
 	checking  bool
 	nextCheck time.Duration
-	// dead tells that a check failed; confirmed is when the last one did.
+	// dead tells that a check failed; confirmed is when the last one did, and refused
+	// that the target refused it.
 	dead      bool
 	confirmed time.Duration
+	refused   bool
 	// warmUntil is when the target stops being slow after its start.
 	warmUntil time.Duration
 	answers   answerTime
+	// all are the requests that wait at all targets.
+	all *backlog
 }
 
 // gone tells that the target does not answer, by evidence that is recent enough
-// to reset flows by.
+// to reset flows by. A target that takes no connection may be overloaded, as others
+// then are, too; it still acknowledges data at once.
 func (r *record) gone(now time.Duration) bool {
-	return r.dead && now-r.confirmed <= evidenceLifetime
+	switch {
+	case !r.dead || now-r.confirmed > evidenceLifetime:
+		return false
+	case r.refused || now-r.lastAnswer >= silentAfter:
+		return true
+	}
+	return r.missedData || r.beyondCut || !r.all.high()
 }
 
 // basis is what a reset of a flow at the target rests on.
@@ -96,12 +111,13 @@
 	beliefs []Belief
 	// dead is the number of targets that failed their check.
 	dead int
+	all  backlog
 	// lastAnswer is when any target was last seen to answer.
 	lastAnswer time.Duration
 }
 
-func newRecords(own state.DomainID) records {
-	return records{own: own, targets: make(map[catalog.TargetID]*record)}
+func newRecords(own state.DomainID) *records {
+	return &records{own: own, targets: make(map[catalog.TargetID]*record)}
 }
 
 func (rs *records) of(target *catalog.Target, now time.Duration) *record {
@@ -117,6 +133,7 @@
 			born:       target.Born,
 			lastAnswer: now,
 			warmUntil:  now + target.WarmUp,
+			all:        &rs.all,
 		}
 		rs.targets[target.ID] = r
 	}
@@ -129,14 +146,25 @@
 func (rs *records) answered(now time.Duration, r *record) {
 	r.lastAnswer = now
 	r.missed = 0
+	r.missedData = false
+	r.beyondCut = false
 	rs.lastAnswer = now
 }
 
 // missedOne notes that an opening or data at a target stayed without an answer,
 // and has the target checked.
-func (rs *records) missedOne(now time.Duration, r *record) {
+func (rs *records) missedOne(now time.Duration, r *record, data bool) {
 	r.missed++
+	wasGone := r.gone(now)
+	// An answer since the data was sent first shows that the target lived: the data was
+	// lost.
+	if data && now-r.lastAnswer >= firstRepeat {
+		r.missedData = true
+	}
 	rs.check(now, r)
+	if !wasGone && r.gone(now) {
+		rs.checkNeighbours(now, r)
+	}
 }
 
 // check asks for a check of a target unless one runs or ran just now.
@@ -174,9 +202,9 @@
 	return addresses
 }
 
-// checked takes the result of a check and tells whether the target turned out
-// to be gone.
-func (rs *records) checked(now time.Duration, r *record, proof Proof) (turnedDead bool) {
+// checked takes the result of a check and tells whether the target may have turned
+// out to be gone.
+func (rs *records) checked(now time.Duration, r *record, proof Proof) (news bool) {
 	r.checking = false
 	if proof == ProofSilent && !rs.cutOff(now) {
 		r.nextCheck = now
@@ -194,8 +222,9 @@
 		return false
 	}
 	r.confirmed = now
+	r.refused = proof == ProofRefused
 	if r.dead {
-		return false
+		return true
 	}
 	r.dead = true
 	rs.dead++
@@ -225,6 +254,7 @@
 	}
 	for _, other := range rs.targets {
 		if other.domain == r.domain && other.open+other.offers > 0 {
+			other.beyondCut = other.beyondCut || other != r && r.gone(now)
 			rs.check(now, other)
 		}
 	}
--- a/internal/coordination/steer/settings.go
+++ b/internal/coordination/steer/settings.go
@@ -29,6 +29,12 @@
 	// evidenceLifetime bounds the age of a failed check that flows are reset by.
 	// It is well below the 4 s for which a healed link still counts as disturbed.
 	evidenceLifetime = 1500 * time.Millisecond
+	// firstRepeat is the time after which a client repeats data, less what the ways of
+	// both packets may differ by.
+	firstRepeat = 190 * time.Millisecond
+	// silentAfter is the time without an answer after which a target that takes no
+	// connection is gone, not busy: a busy one is seen to answer some times a second.
+	silentAfter = time.Second
 	// cutOffAfter is the time without any target's answer after which a host counts as
 	// cut off. Packets stand in the queue of a full link for half a second and more.
 	cutOffAfter = time.Second
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -134,8 +134,10 @@
 const (
 	// ProofAlive tells that the target answered, or can't be shown not to.
 	ProofAlive Proof = iota
-	// ProofGone tells that the target refused, is another, or was silent while a
-	// witness answered.
+	// ProofRefused tells that the target refused, or that another has its address.
+	ProofRefused
+	// ProofGone tells that the target was silent while a witness answered. It may be gone,
+	// or so busy that it takes no connection.
 	ProofGone
 	// ProofSilent tells that neither the target nor a witness answered: the host may be
 	// cut off, or its own link holds its packets up.
--- a/internal/edge/checker.go
+++ b/internal/edge/checker.go
@@ -111,7 +111,7 @@
 		case err == nil && alive:
 			return steer.ProofAlive
 		case err == nil, errors.Is(err, syscall.ECONNREFUSED):
-			return steer.ProofGone
+			return steer.ProofRefused
 		case errors.Is(err, errHeldUp):
 			continue
 		}
--- a/internal/edge/checker_test.go
+++ b/internal/edge/checker_test.go
@@ -38,7 +38,7 @@
 		proof     steer.Proof
 	}{
 		"answers":              {attempts(time.Millisecond, nil), false, steer.ProofAlive},
-		"refuses":              {attempts(time.Millisecond, syscall.ECONNREFUSED), false, steer.ProofGone},
+		"refuses":              {attempts(time.Millisecond, syscall.ECONNREFUSED), false, steer.ProofRefused},
 		"silent":               {attempts(checkTimeout, errSilent), true, steer.ProofGone},
 		"silent as all others": {attempts(checkTimeout, errSilent), false, steer.ProofSilent},
 		"one packet lost":      {attempts(checkTimeout, errSilent, nil), true, steer.ProofAlive},
