Let an overloaded host step aside while others have room

Ruled out: its targets (other hosts placed there in time), lost packets (none dropped), the store. Change: the traffic loop measures the share of its time that packets take; after two windows of 250 ms over 0.8 the host asks the one that it reads from whether it may step aside: not ready for 4 s, forwarding on. It may after 250 ms, if no more than a third of the hosts are overloaded or aside. Without a host to ask it stays.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -44,6 +44,8 @@
 	// storeConnections and storeCalls are one for each follower.
 	storeConnections = 2
 	storeCalls       = 2
+	// sideCalls is for the question of an overloaded host.
+	sideCalls = 1
 	// failuresToOpen and openFor keep a store that is down from being asked by
 	// every follower; the bound on changes leaves little time to hold back.
 	failuresToOpen = 6
@@ -74,9 +76,11 @@
 	// hurry asks for a read of the targets now.
 	hurry chan struct{}
 	// asked tells that another host asked this one for the first time in a while.
-	asked  chan struct{}
-	ctx    context.Context
-	cancel context.CancelFunc
+	asked chan struct{}
+	// overloaded tells that the packets take nearly all of the time.
+	overloaded chan struct{}
+	ctx        context.Context
+	cancel     context.CancelFunc
 	// rebuildAt is when the view changes by time alone, 0 for never.
 	rebuildAt time.Duration
 	// wasReady tells that a view that can serve was published.
@@ -125,7 +129,7 @@
 }
 
 func newControl(e *Edge) (*control, error) {
-	pool, err := ants.NewPool(storeCalls, ants.WithPanicHandler(stop))
+	pool, err := ants.NewPool(storeCalls+sideCalls, ants.WithPanicHandler(stop))
 	if err != nil {
 		return nil, oops.Code("call_pool").Wrap(err)
 	}
@@ -145,8 +149,10 @@
 		answers: make(chan answer, storeCalls),
 		hurry:   make(chan struct{}, 1),
 		asked:   make(chan struct{}, 1),
-		ctx:     ctx,
-		cancel:  cancel,
+
+		overloaded: make(chan struct{}, 1),
+		ctx:        ctx,
+		cancel:     cancel,
 		directory: catalog.NewDirectory(catalog.Settings{
 			KeepDeparted: e.settings.MaxFlowAge + departedMargin,
 			LapseGrace:   lapseGrace,
@@ -215,6 +221,8 @@
 		case <-c.hurry:
 			c.targets.Hurry(c.edge.now())
 		case <-c.asked:
+		case <-c.overloaded:
+			c.askToStepAside(c.edge.now())
 		case <-timer.C:
 		}
 		now := c.edge.now()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,10 +47,13 @@
 	// in nanoseconds from start.
 	configRead  atomic.Int64
 	targetsRead atomic.Int64
-	metrics     *measures
-	traffic     *traffic
-	control     *control
-	pages       *pages
+	// asideUntil is until when this host steps aside, in nanoseconds from start: it is
+	// not ready, and goes on forwarding what arrives.
+	asideUntil atomic.Int64
+	metrics    *measures
+	traffic    *traffic
+	control    *control
+	pages      *pages
 }
 
 // New opens every socket. Nothing is served before Run. Build is the version of the
@@ -132,7 +135,10 @@
 }
 
 // ready tells whether the fabric should send packets here.
-func (e *Edge) ready() bool { return !e.leaving.Load() && e.view.Load().Ready() }
+func (e *Edge) ready() bool {
+	aside := e.now() < time.Duration(e.asideUntil.Load())
+	return !e.leaving.Load() && !aside && e.view.Load().Ready()
+}
 
 // isClosed tells that an error is due to the own shutdown.
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -23,6 +23,7 @@
 	badPackets *metrics.Counter
 	sendFailed *metrics.Counter
 	checks     *metrics.Counter
+	aside      *metrics.Counter
 	// opened is the time from an opening to the client's next packet, decided that
 	// to a decision about an opening, both in seconds.
 	opened  *metrics.PrometheusHistogram
@@ -50,6 +51,7 @@
 		verdicts:   make(map[steer.Reason]*metrics.Counter),
 		badPackets: set.NewCounter("guava_bad_packets_total"),
 		checks:     set.NewCounter("guava_target_checks_total"),
+		aside:      set.NewCounter("guava_steps_aside_total"),
 		sendFailed: set.NewCounter("guava_datagrams_not_sent_total"),
 		opened:     set.NewPrometheusHistogramExt("guava_opening_seconds", openedBuckets),
 		decided:    set.NewPrometheusHistogramExt("guava_decision_seconds", decidedBuckets),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/overload"
 	"github.com/guavawharf/guavawharf/internal/coordination/peers"
 	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
 	"github.com/guavawharf/guavawharf/internal/protocol/peerapi"
@@ -39,6 +40,7 @@
 
 	mu     sync.Mutex
 	askers *peers.Askers
+	turns  *overload.Turns
 }
 
 // openReads opens the address that other hosts ask at. Hosts that ask do so more
@@ -48,6 +50,7 @@
 		edge:     e,
 		replicas: make(map[string]*replica.Replica),
 		askers:   peers.NewAskers(max(e.settings.ChangeBound, e.settings.DrainBound)),
+		turns:    overload.NewTurns(),
 	}
 	for _, kind := range kinds {
 		r.replicas[kind] = replica.New()
@@ -119,6 +122,17 @@
 	return r.askers.Note(now, host)
 }
 
+// StepAside implements peerlink.Reader.
+func (r *reads) StepAside(query peerapi.AsideQuery) peerapi.AsideReply {
+	now := r.edge.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.turns.May(now, query.From, r.askers.Count(now)+1) {
+		return peerapi.AsideReply{}
+	}
+	return peerapi.AsideReply{For: overload.AsideFor}
+}
+
 // serving tells whether other hosts asked lately.
 func (r *reads) serving(now time.Duration) bool {
 	r.mu.Lock()
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/overload"
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/transport/udp"
@@ -45,6 +46,12 @@
 	engine  *steer.Engine
 	view    *catalog.View
 	checker *checker
+	// woken is when the first packet of the read at hand was taken, taken their number,
+	// and idleFrom when the work on the read before was done.
+	woken    time.Duration
+	taken    int
+	idleFrom time.Duration
+	meter    overload.Meter
 	// inspections are questions for the loop's state.
 	inspections chan chan trafficState
 	verdicts    []steer.Verdict
@@ -80,6 +87,7 @@
 	settling := false
 	for {
 		t.setWake(settling)
+		t.taken = 0
 		err := t.reader.Read(t.take)
 		t.now = t.edge.now()
 		t.takeChecked()
@@ -103,6 +111,27 @@
 		}
 		settling = false
 		t.flush()
+		t.meterWork()
+	}
+}
+
+// crowdedRead is the number of packets of one read that shows that nobody waited for
+// them: a waiting read ends with the first one.
+const crowdedRead = 8
+
+// meterWork notes how long the packets of one read took, and asks to step aside if they
+// take nearly all of the time.
+func (t *traffic) meterWork() {
+	if t.taken == 0 {
+		return
+	}
+	from := t.woken
+	if t.taken >= crowdedRead {
+		from = t.idleFrom
+	}
+	t.idleFrom = t.edge.now()
+	if t.meter.Worked(from, t.idleFrom) {
+		signal(t.edge.control.overloaded)
 	}
 }
 
@@ -160,6 +189,10 @@
 // comes before the next read.
 func (t *traffic) take(d udp.Datagram[*slot]) bool {
 	t.now = t.edge.now()
+	if t.taken == 0 {
+		t.woken = t.now
+	}
+	t.taken++
 	t.refresh()
 	t.edge.lastPacket.Store(int64(t.now))
 	packet, err := platform.DecodePacket(d.Slot.Space()[:d.Size])
--- a/internal/protocol/peerapi/peerapi.go
+++ b/internal/protocol/peerapi/peerapi.go
@@ -15,8 +15,9 @@
 
 // Names of the service and its method.
 const (
-	Service    = "Reads"
-	MethodRead = Service + ".Read"
+	Service         = "Reads"
+	MethodRead      = Service + ".Read"
+	MethodStepAside = Service + ".StepAside"
 )
 
 // Query asks what a host has read.
@@ -61,3 +62,16 @@
 	// the store was away, and entries have lapsed meanwhile.
 	Doubt time.Duration
 }
+
+// AsideQuery asks whether an overloaded host may step aside.
+type AsideQuery struct {
+	Version int
+	// From is the control address of the host that asks.
+	From netip.AddrPort
+}
+
+// AsideReply answers an AsideQuery.
+type AsideReply struct {
+	// For is how long the host may step aside, 0 for not now.
+	For time.Duration
+}
--- a/internal/transport/peerlink/client.go
+++ b/internal/transport/peerlink/client.go
@@ -39,20 +39,33 @@
 	return &Client{timeout: timeout, links: make(map[netip.AddrPort]*link)}
 }
 
-// Read asks a host. A failed question closes the connection: it may have gone silent.
+// Read asks a host what it has read from the store.
 func (c *Client) Read(ctx context.Context, host netip.AddrPort, query peerapi.Query) (peerapi.Reply, error) {
+	var reply peerapi.Reply
+	err := c.call(ctx, host, peerapi.MethodRead, query, &reply)
+	return reply, err
+}
+
+// StepAside asks a host whether this one may step aside.
+func (c *Client) StepAside(ctx context.Context, host netip.AddrPort, query peerapi.AsideQuery) (peerapi.AsideReply, error) {
+	var reply peerapi.AsideReply
+	err := c.call(ctx, host, peerapi.MethodStepAside, query, &reply)
+	return reply, err
+}
+
+// call asks a host. A failed question closes the connection: it may have gone silent.
+func (c *Client) call(ctx context.Context, host netip.AddrPort, method string, query, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	caller, err := c.link(ctx, host)
 	if err != nil {
-		return peerapi.Reply{}, oops.Code("peer_connect").With("peer", host.String()).Wrap(err)
+		return oops.Code("peer_connect").With("peer", host.String()).Wrap(err)
 	}
-	var reply peerapi.Reply
-	if err := caller.Call(ctx, peerapi.MethodRead, query, &reply); err != nil {
+	if err := caller.Call(ctx, method, query, reply); err != nil {
 		err = errors.Join(err, c.drop(host, caller))
-		return peerapi.Reply{}, oops.Code("peer_call").With("peer", host.String()).Wrap(err)
+		return oops.Code("peer_call").With("peer", host.String()).Wrap(err)
 	}
-	return reply, nil
+	return nil
 }
 
 // link returns the connection to a host, a new one if there is none.
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -29,6 +29,10 @@
 	return reply
 }
 
+func (echo) StepAside(peerapi.AsideQuery) peerapi.AsideReply {
+	return peerapi.AsideReply{For: time.Second}
+}
+
 // serve starts a server and returns its address.
 func serve(t testing.TB) (*Server, netip.AddrPort) {
 	server, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), echo{})
@@ -52,6 +56,9 @@
 		require.Len(t, reply.Answers, 1)
 		require.Equal(t, after, reply.Answers[0].Page.Revision)
 	}
+	aside, err := client.StepAside(t.Context(), address, peerapi.AsideQuery{Version: peerapi.Version})
+	require.NoError(t, err)
+	require.Equal(t, time.Second, aside.For)
 	require.Len(t, client.links, 1)
 }
 
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -17,6 +17,7 @@
 // Reader answers questions. It is called from several goroutines.
 type Reader interface {
 	Read(peerapi.Query) peerapi.Reply
+	StepAside(peerapi.AsideQuery) peerapi.AsideReply
 }
 
 // reads is the net/rpc service.
@@ -32,6 +33,14 @@
 	return nil
 }
 
+// StepAside answers an overloaded host.
+func (r *reads) StepAside(query peerapi.AsideQuery, reply *peerapi.AsideReply) error {
+	if query.Version == peerapi.Version {
+		*reply = r.reader.StepAside(query)
+	}
+	return nil
+}
+
 // Server answers other hosts.
 type Server struct {
 	server   *netrpc.Server
