Stand in for the users' platform outside the tests

Cause: the stand-ins for the platform's protocol were played by tests alone; make demo showed guavad's path only, and a new user could not try guavaedge.

--- a/Makefile
+++ b/Makefile
@@ -3,15 +3,19 @@
 KNOWN_RED := $(shell grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 
-.PHONY: all build demo test lint fmt
+.PHONY: all build demo demo-edge test lint fmt
 
 all: build
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
 
+demo-edge: build
+	./scripts/demo-edge.sh
+
 demo: build
 	./scripts/demo.sh
+	./scripts/demo-edge.sh
 
 test:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "skipped, known to fail:"; cat KNOWN-RED.txt; fi
--- /dev/null
+++ b/cmd/guava-standin/edge.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/guavawharf/guavawharf/internal/standin/edgeload"
+)
+
+// Defaults of the edge verb.
+const (
+	defaultTargets = 6
+	defaultClients = 20
+	defaultLength  = 20 * time.Second
+)
+
+// edgeVerb stands in for the users' platform around guavaedge hosts.
+type edgeVerb struct {
+	store   string
+	hosts   []string
+	targets string
+	clients string
+	count   int
+	callers int
+	length  time.Duration
+	seed    uint64
+	output  string
+}
+
+func newEdgeVerb() *edgeVerb {
+	return &edgeVerb{count: defaultTargets, callers: defaultClients, length: defaultLength, seed: 1, output: "text"}
+}
+
+func (v *edgeVerb) subcommand() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("edge")
+	sc.Description = "Stand in for the users' platform around guavaedge hosts: store, targets, rotation, clients; put a load on and report."
+	sc.AdditionalHelpAppend = "Example: guava-standin edge --store 127.88.0.1:7900 --host 127.88.1.1:7000,127.88.1.1:7001 --targets 127.88.2.1 --clients 127.88.3.1:7000"
+	sc.String(&v.store, "s", "store", "where the store listens, as IP:port")
+	sc.StringSlice(&v.hosts, "c", "host", "a host's addresses for packets and for ready, as IP:port,IP:port; may be repeated")
+	sc.String(&v.targets, "t", "targets", "IP address of the first target; the others follow")
+	sc.String(&v.clients, "k", "clients", "address of the first client as IP:port; the port is that of the hosts' packets")
+	sc.Int(&v.count, "n", "target-count", "number of targets")
+	sc.Int(&v.callers, "m", "client-count", "number of clients")
+	sc.Duration(&v.length, "l", "length", "how long clients send requests")
+	sc.UInt64(&v.seed, "r", "seed", "seed of the load")
+	sc.String(&v.output, "o", "output", "text or json")
+	return sc
+}
+
+func (v *edgeVerb) run(ctx context.Context, log *slog.Logger) int {
+	settings, err := v.settings()
+	if err != nil {
+		log.Error("edge.settings_refused", "error", err.Error())
+		return exitUsage
+	}
+	report, err := edgeload.Run(ctx, settings)
+	if err != nil {
+		log.Error("edge.run_failed", "error", err.Error())
+		return exitFailed
+	}
+	if err := v.print(report); err != nil {
+		log.Error("edge.report_failed", "error", err.Error())
+		return exitFailed
+	}
+	if report.Broken() {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func (v *edgeVerb) print(report edgeload.Report) error {
+	if v.output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(report)
+	}
+	_, err := fmt.Print(report)
+	return err
+}
+
+func (v *edgeVerb) settings() (edgeload.Settings, error) {
+	store, err := netip.ParseAddrPort(v.store)
+	if err != nil {
+		return edgeload.Settings{}, fmt.Errorf("--store: %w", err)
+	}
+	targets, err := netip.ParseAddr(v.targets)
+	if err != nil {
+		return edgeload.Settings{}, fmt.Errorf("--targets: %w", err)
+	}
+	clients, err := netip.ParseAddrPort(v.clients)
+	if err != nil {
+		return edgeload.Settings{}, fmt.Errorf("--clients: %w", err)
+	}
+	if len(v.hosts) == 0 || v.count < 2 || v.callers < 1 {
+		return edgeload.Settings{}, fmt.Errorf("--host, --target-count, --client-count: at least one host, two targets and one client are needed")
+	}
+	settings := edgeload.Settings{
+		Store: store, Targets: targets, Clients: clients, TargetCount: v.count, ClientCount: v.callers,
+		Length: v.length, Seed: v.seed,
+	}
+	for _, text := range v.hosts {
+		host, err := parseHost(text)
+		if err != nil {
+			return edgeload.Settings{}, fmt.Errorf("--host %s: %w", text, err)
+		}
+		settings.Hosts = append(settings.Hosts, host)
+	}
+	return settings, nil
+}
+
+func parseHost(text string) (edgeload.Host, error) {
+	packets, ready, _ := strings.Cut(text, ",")
+	var host edgeload.Host
+	var err error
+	if host.Packets, err = netip.ParseAddrPort(packets); err != nil {
+		return host, err
+	}
+	host.Ready, err = netip.ParseAddrPort(ready)
+	return host, err
+}
--- a/cmd/guava-standin/main.go
+++ b/cmd/guava-standin/main.go
@@ -38,7 +38,7 @@
 }
 
 func main() {
-	verbs := []verb{newPlatformVerb(), newHostsVerb(), newUpstreamVerb(), newCallersVerb(), newSlopesVerb()}
+	verbs := []verb{newPlatformVerb(), newHostsVerb(), newUpstreamVerb(), newCallersVerb(), newSlopesVerb(), newEdgeVerb()}
 	parser := flaggy.NewParser("guava-standin")
 	parser.Description = "Stand-ins for the platform, upstreams and callers; development and tests only."
 	parser.Version = version
--- /dev/null
+++ b/internal/standin/edgeload/edgeload_test.go
@@ -0,0 +1,106 @@
+package edgeload
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/edge"
+	"github.com/guavawharf/guavawharf/internal/protocol/edgesettings"
+	"github.com/guavawharf/guavawharf/internal/transport/limitlog"
+	"github.com/guavawharf/guavawharf/platform/platformtest"
+)
+
+// Ports of these tests.
+const (
+	packetsPort = 7000
+	readyPort   = 7001
+	metricsPort = 7002
+	controlPort = 7003
+	storePort   = 7004
+)
+
+// bed returns settings of a run with hosts of the product, which end with the test.
+func bed(t *testing.T, hosts byte) Settings {
+	network, err := platformtest.ClaimLoopback()
+	require.NoError(t, err)
+	settings := Settings{
+		Store:   network.Address(200, 1, storePort),
+		Targets: network.Address(201, 1, 0).Addr(),
+		Clients: network.Address(202, 1, packetsPort), TargetCount: 3, ClientCount: 4,
+		Length: 1500 * time.Millisecond, Seed: 1,
+	}
+	for number := byte(1); number <= hosts; number++ {
+		host := edgesettings.Settings{
+			Host: "edge", Domain: domain, Store: settings.Store,
+			Packets: network.Address(203, number, packetsPort), Ready: network.Address(203, number, readyPort),
+			Metrics: network.Address(203, number, metricsPort), Control: network.Address(203, number, controlPort),
+			Seeds:       []netip.AddrPort{network.Address(203, 1, controlPort)},
+			ChangeBound: time.Second, DrainBound: time.Second, LeaveDeadline: 3 * time.Second, MaxFlowAge: time.Minute,
+		}
+		startHost(t, host)
+		settings.Hosts = append(settings.Hosts, Host{Packets: host.Packets, Ready: host.Ready})
+	}
+	return settings
+}
+
+func startHost(t *testing.T, settings edgesettings.Settings) {
+	host, err := edge.New(settings, "test", slog.New(slog.DiscardHandler), func() limitlog.Losses { return limitlog.Losses{} })
+	require.NoError(t, err)
+	leave, stopped := make(chan struct{}, 1), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		host.Run(leave)
+	}()
+	t.Cleanup(func() {
+		leave <- struct{}{}
+		<-stopped
+	})
+}
+
+func TestALoadIsServedWholeThroughPlannedChanges(t *testing.T) {
+	report, err := Run(t.Context(), bed(t, 2))
+	require.NoError(t, err)
+	require.Positive(t, report.Served)
+	require.Equal(t, report.Requests, report.Served, "%+v", report)
+	require.Zero(t, report.Resets+report.Unanswered)
+	require.False(t, report.Broken())
+	require.Contains(t, report.String(), "served")
+}
+
+func TestARunWithoutHostsThatAreReadyFails(t *testing.T) {
+	settings := bed(t, 0)
+	settings.Store = netip.AddrPortFrom(settings.Store.Addr(), storePort+1)
+	settings.Hosts = []Host{{Packets: settings.Clients, Ready: settings.Clients}}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := Run(ctx, settings)
+	require.ErrorContains(t, err, "ready")
+}
+
+func TestAHostThatMissesTwiceLeavesTheRotation(t *testing.T) {
+	a, b := netip.MustParseAddrPort("192.0.2.1:1"), netip.MustParseAddrPort("192.0.2.2:1")
+	r := newRotation([]Host{{Packets: a}, {Packets: b}})
+	r.misses = []int{missesToLeave, 1}
+	choose := r.choose(rand.New(rand.NewPCG(1, 1)))
+	for range 20 {
+		require.Equal(t, b, choose())
+	}
+	r.misses[1] = missesToLeave
+	seen := make(map[netip.AddrPort]bool)
+	for range 50 {
+		seen[choose()] = true
+	}
+	require.Len(t, seen, 2, "all, if none is in rotation")
+}
+
+func TestABrokenPromiseIsReported(t *testing.T) {
+	require.True(t, Report{RanTwice: 1}.Broken())
+	require.True(t, Report{WrongAnswers: 1}.Broken())
+	require.False(t, Report{Resets: 3, Unanswered: 1}.Broken())
+}
