Receive datagrams without allocations

Cause: golang.org/x/net's ReadBatch allocates the sender's address of each datagram twice; the bound is 0 allocations a forwarded packet. Change: the reader calls recvmmsg itself, into senders that it reads as netip.AddrPort; the writer stays on WriteBatch, which allocates nothing. Test: a datagram written and read allocates nothing.

--- a/internal/transport/udp/reader.go
+++ b/internal/transport/udp/reader.go
@@ -1,10 +1,13 @@
 package udp
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"syscall"
+	"unsafe"
 
-	"golang.org/x/net/ipv4"
+	"github.com/samber/oops"
+	"golang.org/x/sys/unix"
 )
 
 // Slot is memory that a datagram is read into.
@@ -24,24 +27,46 @@
 	From netip.AddrPort
 }
 
-// Reader reads batches of datagrams into slots.
+// message is the kernel's struct mmsghdr.
+type message struct {
+	header unix.Msghdr
+	// size is the number of bytes that were received.
+	size uint32
+	_    [4]byte
+}
+
+// Reader reads batches of datagrams into slots. It allocates nothing for them but
+// what next returns.
 type Reader[S Slot] struct {
-	socket   *Socket
-	next     func() S
-	slots    []S
-	messages []ipv4.Message
+	raw   syscall.RawConn
+	next  func() S
+	slots []S
+	// messages point to a vector and a sender each.
+	messages []message
+	vectors  []unix.Iovec
+	senders  []unix.RawSockaddrInet6
+	// receive is called while the socket may be read; count and errno are its outcome.
+	receive func(fd uintptr) bool
+	count   int
+	errno   syscall.Errno
 }
 
 // NewReader returns a reader that takes its slots from next.
 func NewReader[S Slot](socket *Socket, next func() S) *Reader[S] {
 	r := &Reader[S]{
-		socket:   socket,
+		raw:      socket.raw,
 		next:     next,
 		slots:    make([]S, BatchSize),
-		messages: make([]ipv4.Message, BatchSize),
+		messages: make([]message, BatchSize),
+		vectors:  make([]unix.Iovec, BatchSize),
+		senders:  make([]unix.RawSockaddrInet6, BatchSize),
 	}
+	r.receive = r.recvmmsg
 	for i := range r.slots {
-		r.messages[i].Buffers = make([][]byte, 1)
+		header := &r.messages[i].header
+		header.Name = (*byte)(unsafe.Pointer(&r.senders[i]))
+		header.Iov = &r.vectors[i]
+		header.SetIovlen(1)
 		r.refill(i)
 	}
 	return r
@@ -49,17 +74,25 @@
 
 func (r *Reader[S]) refill(i int) {
 	r.slots[i] = r.next()
-	r.messages[i].Buffers[0] = r.slots[i].Space()
+	space := r.slots[i].Space()
+	r.vectors[i].Base = unsafe.SliceData(space)
+	r.vectors[i].SetLen(len(space))
 }
 
 // Read waits for datagrams and calls handle for each one. If handle returns
 // true it keeps the slot; otherwise the slot is used again.
 func (r *Reader[S]) Read(handle func(Datagram[S]) bool) error {
-	n, err := r.socket.batch.ReadBatch(r.messages, 0)
-	if err != nil {
+	for i := range r.messages {
+		// The kernel shortens it to the sender's length.
+		r.messages[i].header.Namelen = uint32(unsafe.Sizeof(r.senders[i]))
+	}
+	if err := r.raw.Read(r.receive); err != nil {
 		return err
 	}
-	for i := range n {
+	if r.errno != 0 {
+		return oops.Code("udp_receive").Wrap(r.errno)
+	}
+	for i := range r.count {
 		if handle(r.datagram(i)) {
 			r.refill(i)
 		}
@@ -67,12 +100,34 @@
 	return nil
 }
 
+// recvmmsg takes what has arrived. It returns false if there is nothing.
+func (r *Reader[S]) recvmmsg(fd uintptr) (done bool) {
+	for {
+		count, _, errno := unix.Syscall6(unix.SYS_RECVMMSG, fd, uintptr(unsafe.Pointer(&r.messages[0])),
+			uintptr(len(r.messages)), unix.MSG_DONTWAIT, 0, 0)
+		if errno == unix.EINTR {
+			continue
+		}
+		r.count, r.errno = int(count), errno
+		return errno != unix.EAGAIN
+	}
+}
+
 func (r *Reader[S]) datagram(i int) Datagram[S] {
-	message := &r.messages[i]
 	return Datagram[S]{
 		Slot:      r.slots[i],
-		Size:      message.N,
-		Truncated: message.Flags&syscall.MSG_TRUNC != 0,
-		From:      unmapped(message.Addr),
+		Size:      int(r.messages[i].size),
+		Truncated: r.messages[i].header.Flags&unix.MSG_TRUNC != 0,
+		From:      senderOf(&r.senders[i]),
+	}
+}
+
+// senderOf reads the address that the kernel wrote. Both IP versions have the port at
+// the same place, in network byte order.
+func senderOf(sender *unix.RawSockaddrInet6) netip.AddrPort {
+	port := binary.BigEndian.Uint16((*[2]byte)(unsafe.Pointer(&sender.Port))[:])
+	if sender.Family == unix.AF_INET {
+		return netip.AddrPortFrom(netip.AddrFrom4((*unix.RawSockaddrInet4)(unsafe.Pointer(sender)).Addr), port)
 	}
+	return netip.AddrPortFrom(netip.AddrFrom16(sender.Addr).Unmap(), port)
 }
--- a/internal/transport/udp/socket.go
+++ b/internal/transport/udp/socket.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -19,9 +20,8 @@
 	socketBuffer = 8 << 20
 )
 
-// batchConn is what ipv4.PacketConn and ipv6.PacketConn have in common.
+// batchConn is what ipv4.PacketConn and ipv6.PacketConn have in common for writing.
 type batchConn interface {
-	ReadBatch(ms []ipv4.Message, flags int) (int, error)
 	WriteBatch(ms []ipv4.Message, flags int) (int, error)
 }
 
@@ -29,6 +29,7 @@
 // Writer of it is not.
 type Socket struct {
 	conn  *net.UDPConn
+	raw   syscall.RawConn
 	batch batchConn
 	ip4   bool
 }
@@ -42,14 +43,19 @@
 	// A smaller buffer than wished for works, too.
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
-	return newSocket(conn, address.Addr().Unmap().Is4()), nil
+	return newSocket(conn, address.Addr().Unmap().Is4())
 }
 
-func newSocket(conn *net.UDPConn, ip4 bool) *Socket {
+func newSocket(conn *net.UDPConn, ip4 bool) (*Socket, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, oops.Code("udp_socket").Wrap(err)
+	}
+	s := &Socket{conn: conn, raw: raw, ip4: ip4, batch: ipv6.NewPacketConn(conn)}
 	if ip4 {
-		return &Socket{conn: conn, batch: ipv4.NewPacketConn(conn), ip4: true}
+		s.batch = ipv4.NewPacketConn(conn)
 	}
-	return &Socket{conn: conn, batch: ipv6.NewPacketConn(conn)}
+	return s, nil
 }
 
 // Clone returns another handle of the same socket. Writes on one handle wait for
@@ -64,7 +70,7 @@
 	if err != nil {
 		return nil, oops.Code("udp_clone").Wrap(err)
 	}
-	return newSocket(conn.(*net.UDPConn), s.ip4), nil
+	return newSocket(conn.(*net.UDPConn), s.ip4)
 }
 
 // Address returns the local address.
--- a/internal/transport/udp/udp_test.go
+++ b/internal/transport/udp/udp_test.go
@@ -132,3 +132,17 @@
 	require.NoError(t, socket.Close())
 	require.ErrorIs(t, <-done, net.ErrClosed)
 }
+
+func TestADatagramAllocatesNothing(t *testing.T) {
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	writer, reader := NewWriter(from), NewReader(to, newSlot)
+	address, data := to.Address(), []byte{1, 2, 3}
+	handle := func(Datagram[slot]) bool { return false }
+	require.Zero(t, testing.AllocsPerRun(200, func() {
+		writer.Add(data, address)
+		writer.Flush()
+		if err := reader.Read(handle); err != nil {
+			t.Error(err)
+		}
+	}))
+}
