--- a/internal/state/catalog/directory_test.go
+++ b/internal/state/catalog/directory_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -149,3 +150,24 @@
 	d.SetConfig(config(4, "proofs"))
 	require.Nil(t, view(d, 0).Routes[feed].Target(1), "the route was gone meanwhile, and with it its flows")
 }
+
+// benchmarkView builds the view of a directory after one change.
+func benchmarkView(b *testing.B, targets int) {
+	d := NewDirectory(Settings{KeepDeparted: time.Minute, LapseGrace: time.Second})
+	d.SetConfig(Config{Version: 1, Routes: []Route{{Address: netip.MustParseAddrPort("198.18.0.1:1"), Pools: []PoolWeight{{Pool: "p", Weight: 1}}}}})
+	for i := range targets {
+		d.Put(Target{ID: TargetID(i), Name: fmt.Sprint("t", i), Pool: "p", Slots: 2})
+	}
+	d.RemoveAllBut(0, map[string]bool{})
+	for i := range targets {
+		d.Put(Target{ID: TargetID(i), Name: fmt.Sprint("t", i), Pool: "p", Slots: 2})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		d.View(time.Minute)
+	}
+}
+
+func BenchmarkView150(b *testing.B)   { benchmarkView(b, 150) }
+func BenchmarkView3000(b *testing.B)  { benchmarkView(b, 3000) }
+func BenchmarkView27000(b *testing.B) { benchmarkView(b, 27_000) }
