Leave a second, not half, for closing before the deadline

Change, found on the way: a host to which packets keep coming forwards until 0.5 s before the deadline and then closes its pool of calls (1 s at most) and its log (0.2 s), which may not fit; it now stops forwarding 1 s before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,8 +24,9 @@
 	leaveAtLeast = 1300 * time.Millisecond
 	// leaveQuiet is how long no packet has to arrive before the host stops.
 	leaveQuiet = 400 * time.Millisecond
-	// leaveMargin is kept free before the deadline.
-	leaveMargin = 500 * time.Millisecond
+	// leaveMargin is kept free before the deadline, to close what is open on a host that
+	// is short of processor time.
+	leaveMargin = time.Second
 	// leavePoll is the time between two looks at the traffic.
 	leavePoll = 50 * time.Millisecond
 )
