--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -312,20 +312,15 @@
 
 // apply puts what a call brought in force, and tells other hosts of it.
 func (c *control) apply(now time.Duration, a answer, change follow.Change) {
-	known := c.reads.replicas[a.of.kind]
-	revision := a.outcome.Page.Revision
-	change.Objects = known.Put(change.Objects, revision)
-	if change.Listed != nil {
-		known.Keep(change.Listed, revision)
-	}
+	change.Objects = c.reads.put(a.of.kind, change, a.outcome.Page.Revision)
 	if a.of.apply(now, change) {
 		c.publish(now)
 	}
 	if change.Whole {
-		known.Whole(a.of.follower.Revision(), a.asked-a.told.Age)
+		c.reads.whole(a.of.kind, a.of.follower.Revision(), a.asked-a.told.Age)
 	}
 	c.link.Store(&sourceState{peer: c.lastPeer, storeAway: c.storeLost})
-	c.reads.doubtUntil.Store(int64(c.directory.DoubtUntil()))
+	c.reads.doubt(c.directory.DoubtUntil())
 	// After the view that holds what was read.
 	c.edge.configRead.Store(int64(c.config.ReadAt()))
 	c.edge.targetsRead.Store(int64(c.targets.ReadAt()))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,11 +4,11 @@
 	"net/netip"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/follow"
 	"github.com/guavawharf/guavawharf/internal/coordination/overload"
 	"github.com/guavawharf/guavawharf/internal/coordination/peers"
 	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
@@ -31,16 +31,15 @@
 
 // reads answers other hosts what this one has read from the store.
 type reads struct {
-	edge     *Edge
-	server   *peerlink.Server
-	replicas map[string]*replica.Replica
-	// doubtUntil is when a missing entry means again that its target is gone, in
-	// nanoseconds from start.
-	doubtUntil atomic.Int64
+	edge   *Edge
+	server *peerlink.Server
 
-	mu     sync.Mutex
-	askers *peers.Askers
-	turns  *overload.Turns
+	mu       sync.Mutex
+	replicas map[string]*replica.Replica
+	askers   *peers.Askers
+	turns    *overload.Turns
+	// doubtUntil is when a missing entry means again that its target is gone.
+	doubtUntil time.Duration
 }
 
 // openReads opens the address that other hosts ask at. Hosts that ask do so more
@@ -68,12 +67,40 @@
 	}
 }
 
+// put takes what a call brought and returns the objects that are news.
+func (r *reads) put(kind string, change follow.Change, revision uint64) []objects.Object {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.replicas[kind]
+	news := known.Put(change.Objects, revision)
+	if change.Listed != nil {
+		known.Keep(change.Listed, revision)
+	}
+	return news
+}
+
+// whole notes that every change up to a revision is known, as of a time by bootTime.
+func (r *reads) whole(kind string, revision uint64, asOf time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replicas[kind].Whole(revision, asOf)
+}
+
+// doubt notes when a missing entry means again that its target is gone.
+func (r *reads) doubt(until time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.doubtUntil = until
+}
+
 // Read implements peerlink.Reader.
 func (r *reads) Read(query peerapi.Query) peerapi.Reply {
 	if r.edge.leaving.Load() {
 		return peerapi.Reply{}
 	}
 	now := r.edge.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	reply := peerapi.Reply{Instead: r.note(now, query.From)}
 	for _, read := range query.Reads {
 		reply.Answers = append(reply.Answers, r.answer(now, read))
@@ -99,7 +126,7 @@
 		Known: answer.Known,
 		Age:   answer.Age,
 		Page:  answer.Page,
-		Doubt: max(0, time.Duration(r.doubtUntil.Load())-now),
+		Doubt: max(0, r.doubtUntil-now),
 	}
 }
 
@@ -114,8 +141,6 @@
 
 // note remembers that a host asked and returns the host that it is to ask instead.
 func (r *reads) note(now time.Duration, host netip.AddrPort) netip.AddrPort {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if !r.askers.Serving(now) {
 		signal(r.edge.control.asked)
 	}
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -74,9 +74,9 @@
 	first.configure(3, addresses...)
 	second.eventually(func() bool { return second.logs.contains("config=3") })
 	require.Greater(t, access.Calls(), before, "read from the store")
-	answer := first.running.control.reads.answer(0, peerapi.Read{Kind: platform.KindConfig, List: true})
-	require.True(t, answer.TooLarge)
-	require.Empty(t, answer.Page.Objects)
+	reply := first.running.control.reads.Read(peerapi.Query{Reads: []peerapi.Read{{Kind: platform.KindConfig, List: true}}})
+	require.True(t, reply.Answers[0].TooLarge)
+	require.Empty(t, reply.Answers[0].Page.Objects)
 }
 
 func TestAHostThatTheStoreTurnsAwayIsKeptCurrentByAnother(t *testing.T) {
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state/objects"
@@ -22,9 +21,8 @@
 )
 
 // Replica is the objects of one kind. Its zero value is not ready for use: see
-// New. It is safe for concurrent use.
+// New. It is not safe for concurrent use.
 type Replica struct {
-	mu      sync.Mutex
 	objects map[string]objects.Object
 	// gone holds deleted objects, the oldest first. Their revision is that of the
 	// read that told of them.
@@ -45,8 +43,6 @@
 // Put takes objects that were read and returns those that are news: what another
 // host told may be older than what is known. Revision is the store's at that read.
 func (r *Replica) Put(changed []objects.Object, revision uint64) []objects.Object {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	news := make([]objects.Object, 0, len(changed))
 	for _, object := range changed {
 		known, present := r.objects[object.Key]
@@ -65,8 +61,6 @@
 
 // Keep removes the objects that a complete list does not name.
 func (r *Replica) Keep(listed map[string]bool, revision uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, key := range slices.Sorted(maps.Keys(r.objects)) {
 		if !listed[key] {
 			r.remove(key, revision)
@@ -92,8 +86,6 @@
 // Whole notes that a read brought all changes up to a revision. It was asked for
 // at asOf, by the clock that Since takes.
 func (r *Replica) Whole(revision uint64, asOf time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.revision = max(r.revision, revision)
 	r.asOf = max(r.asOf, asOf)
 }
@@ -111,8 +103,6 @@
 // Since returns what changed after a revision, the oldest first. Now is the time by
 // the clock of Whole.
 func (r *Replica) Since(after uint64, now time.Duration) Answer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.revision == 0 || after < r.floor {
 		return Answer{}
 	}
@@ -154,8 +144,6 @@
 
 // List returns the objects whose keys follow from, in the order of their keys.
 func (r *Replica) List(from string, now time.Duration) Answer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.revision == 0 {
 		return Answer{}
 	}
