Count how long a change may have taken to be in force

Cause: the counters told the age of what a host knows, not what a change took; the issue asks for the time from change to in force. The store gives no time of a change that could be compared with a host's clock. Change: guava_change_seconds, by kind: from the whole read before the one that brought the change, after which it was made, to the view that holds it. The histogram reads the longest that it may have been.

--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/follow"
@@ -54,7 +55,9 @@
 type followed struct {
 	kind     string
 	follower *follow.Follower
-	apply    func(now time.Duration, change follow.Change) (changed bool)
+	// read is when the newest whole read was asked for, in nanoseconds from start.
+	read  *atomic.Int64
+	apply func(now time.Duration, change follow.Change) (changed bool)
 }
 
 // sourceState tells whom the host reads from.
@@ -101,7 +104,7 @@
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
 
 // follow adds a follower whose changes have to be known within a bound.
-func (c *control) follow(settings follow.Settings, bound time.Duration, apply func(time.Duration, follow.Change) bool) *follow.Follower {
+func (c *control) follow(settings follow.Settings, bound time.Duration, read *atomic.Int64, apply func(time.Duration, follow.Change) bool) *follow.Follower {
 	settings.Interval = share(bound, intervalShare)
 	settings.ServingInterval = share(bound, servingShare)
 	settings.PeerInterval = share(bound, peerAgeShare)
@@ -109,7 +112,7 @@
 	settings.RetryMin = retryMin
 	settings.RetryMax = retryMax
 	follower := follow.New(settings, rand.Float64)
-	c.followers = append(c.followers, &followed{kind: settings.Kind, apply: apply, follower: follower})
+	c.followers = append(c.followers, &followed{kind: settings.Kind, apply: apply, follower: follower, read: read})
 	return follower
 }
 
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -85,8 +85,8 @@
 	c.source.Store(&sourceState{})
 	// The configuration is read as it is now before anything is served by it. Of
 	// targets there are many: old lists spare the store when all hosts start.
-	c.config = c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, c.applyConfig)
-	c.targets = c.follow(follow.Settings{Kind: platform.KindTargets, StaleStart: true}, e.settings.DrainBound, c.applyTargets)
+	c.config = c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, &e.configRead, c.applyConfig)
+	c.targets = c.follow(follow.Settings{Kind: platform.KindTargets, StaleStart: true}, e.settings.DrainBound, &e.targetsRead, c.applyTargets)
 	return c, nil
 }
 
@@ -160,6 +160,7 @@
 	change.Objects = c.reads.put(a.of.kind, change, a.outcome.Page.Revision)
 	if a.of.apply(now, change) {
 		c.publish(now)
+		c.noteInForce(a.of, change)
 	}
 	if change.Whole {
 		c.reads.whole(a.of.kind, a.of.follower.Revision(), a.asked-a.told.Age)
@@ -167,8 +168,18 @@
 	c.source.Store(&sourceState{peer: c.lastPeer, storeAway: c.storeLost})
 	c.reads.doubt(c.directory.DoubtUntil())
 	// After the view that holds what was read.
-	c.edge.configRead.Store(int64(c.config.ReadAt()))
-	c.edge.targetsRead.Store(int64(c.targets.ReadAt()))
+	for _, f := range c.followers {
+		f.read.Store(int64(f.follower.ReadAt()))
+	}
+}
+
+// noteInForce counts how long a change took to be in force, at most: it was made after
+// the read before.
+func (c *control) noteInForce(of *followed, change follow.Change) {
+	before := time.Duration(of.read.Load())
+	if before > 0 && len(change.Objects) > 0 {
+		c.edge.metrics.inForce(of.kind, c.edge.now()-before)
+	}
 }
 
 // noteStore logs when the store is lost and when it is back.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -402,20 +402,26 @@
 	require.Equal(t, "i-2a00000001", b.request(b.open()))
 }
 
-func TestCountersAreServedAsText(t *testing.T) {
-	b := oneHost(t)
-	b.request(b.open())
+// counters returns the host's page of counters.
+func (b *bed) counters() string {
 	response, err := http.Get("http://" + b.metrics.String() + pathMetrics)
-	require.NoError(t, err)
+	require.NoError(b.t, err)
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	require.Contains(t, string(body), `guava_verdicts_total{reason="placed"} 1`)
-	require.Contains(t, string(body), "guava_platform_attempt_list_total 2")
+	require.NoError(b.t, err)
+	return string(body)
+}
+
+func TestCountersAreServedAsText(t *testing.T) {
+	b := oneHost(t)
+	b.request(b.open())
+	body := b.counters()
+	require.Contains(t, body, `guava_verdicts_total{reason="placed"} 1`)
+	require.Contains(t, body, "guava_platform_attempt_list_total 2")
 	for _, name := range []string{
 		"guava_opening_seconds_count 1", "guava_decision_seconds_count 1", "guava_config_version 1",
 		"guava_targets_age_seconds ", "guava_config_age_seconds ", `guava_store_call_seconds_bucket{kind="config",result="ok",le="`,
 	} {
-		require.Contains(t, string(body), name)
+		require.Contains(t, body, name)
 	}
 }
--- a/internal/edge/measures.go
+++ b/internal/edge/measures.go
@@ -34,6 +34,7 @@
 var (
 	openedBuckets  = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}
 	decidedBuckets = []float64{1e-6, 3e-6, 1e-5, 3e-5, 1e-4, 3e-4, 1e-3, 1e-2}
+	changeBuckets  = []float64{0.1, 0.2, 0.5, 1, 1.5, 2, 3, 5, 10, 20}
 	callBuckets    = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}
 )
 
@@ -83,6 +84,11 @@
 	m.set.GetOrCreatePrometheusHistogramExt(name, callBuckets).Update(took.Seconds())
 }
 
+// inForce counts the longest that a change may have taken to be in force here.
+func (m *measures) inForce(kind string, took time.Duration) {
+	m.set.GetOrCreatePrometheusHistogramExt(`guava_change_seconds{kind="`+kind+`"}`, changeBuckets).Update(took.Seconds())
+}
+
 // question counts a question of another host.
 func (m *measures) question(answered bool) {
 	m.set.GetOrCreateCounter(`guava_peer_questions_total{answered="` + strconv.FormatBool(answered) + `"}`).Inc()
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -56,6 +56,7 @@
 	second.eventually(func() bool { return second.logs.contains("config=3") && second.logs.contains("i-2a00000002") })
 	time.Sleep(second.settings().ChangeBound)
 	require.LessOrEqual(t, access.Calls()-before, 2, "at most one that the first host's pause made")
+	require.Contains(t, second.counters(), `guava_change_seconds_count{kind="config"}`)
 }
 
 // A configuration of 1,735 routes, told to every host that asked, filled the link of a
