--- /dev/null
+++ b/internal/transport/netrpc/server_test.go
@@ -0,0 +1,88 @@
+package netrpc
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// patience bounds every wait of these tests.
+const patience = 5 * time.Second
+
+// double answers with twice the number, or never.
+type double struct{ silent chan struct{} }
+
+// Of is the method that is called.
+func (d *double) Of(number int, reply *int) error {
+	if d.silent != nil {
+		<-d.silent
+	}
+	*reply = 2 * number
+	return nil
+}
+
+func serve(t *testing.T, settings ServerSettings, receiver any) (*Server, string) {
+	server, err := NewServer(settings, Service{Name: "Double", Receiver: receiver})
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Close)
+	return server, listener.Addr().String()
+}
+
+func TestACallIsAnswered(t *testing.T) {
+	_, address := serve(t, ServerSettings{}, &double{})
+	var reply int
+	require.NoError(t, Call(t.Context(), address, "Double.Of", 21, &reply))
+	require.Equal(t, 42, reply)
+}
+
+func TestACallEndsWithItsContext(t *testing.T) {
+	silent := make(chan struct{})
+	defer close(silent)
+	_, address := serve(t, ServerSettings{}, &double{silent: silent})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	require.ErrorIs(t, Call(ctx, address, "Double.Of", 1, new(int)), context.DeadlineExceeded)
+	require.Less(t, time.Since(began), patience)
+}
+
+func TestConnectionsBeyondTheBoundAreRefused(t *testing.T) {
+	var refused atomic.Int64
+	_, address := serve(t, ServerSettings{MaxConnections: 1, Refused: func() { refused.Add(1) }}, &double{})
+	first, err := Dial(t.Context(), address)
+	require.NoError(t, err)
+	var reply int
+	require.NoError(t, first.Call(t.Context(), "Double.Of", 1, &reply))
+	require.Error(t, Call(t.Context(), address, "Double.Of", 1, &reply))
+	require.EqualValues(t, 1, refused.Load())
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool { return Call(t.Context(), address, "Double.Of", 1, &reply) == nil }, patience, time.Millisecond)
+}
+
+func TestAConnectionThatIsIdleIsClosed(t *testing.T) {
+	_, address := serve(t, ServerSettings{IdleTimeout: 50 * time.Millisecond}, &double{})
+	caller, err := Dial(t.Context(), address)
+	require.NoError(t, err)
+	require.NoError(t, caller.Call(t.Context(), "Double.Of", 1, new(int)))
+	time.Sleep(200 * time.Millisecond)
+	require.Error(t, caller.Call(t.Context(), "Double.Of", 1, new(int)))
+}
+
+func TestAServiceWithoutMethodsIsRefused(t *testing.T) {
+	_, err := NewServer(ServerSettings{}, Service{Name: "Empty", Receiver: struct{}{}})
+	require.Error(t, err)
+}
+
+func TestAClosedServerTakesNoConnection(t *testing.T) {
+	server, address := serve(t, ServerSettings{}, &double{})
+	require.NoError(t, Call(t.Context(), address, "Double.Of", 1, new(int)))
+	server.Close()
+	require.Error(t, Call(t.Context(), address, "Double.Of", 1, new(int)))
+}
