See an overload of all targets by the openings, too

Ruled out: re-offers and other targets believed gone (none on that host before). Its openings had grown from 7 to 69 a second two seconds before. Change: four times the usual openings a second, and 8 more, are an overload like four times the usual waiting requests. type backlog became load.

--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -45,8 +45,8 @@
 	// warmUntil is when the target stops being slow after its start.
 	warmUntil time.Duration
 	answers   answerTime
-	// all are the requests that wait at all targets.
-	all *backlog
+	// all is the work of all targets.
+	all *load
 }
 
 // gone tells that the target does not answer, by evidence that is recent enough
@@ -112,7 +112,7 @@
 	beliefs []Belief
 	// dead are the targets that failed their check.
 	dead []*record
-	all  backlog
+	all  load
 	// lastAnswer is when any target was last seen to answer.
 	lastAnswer time.Duration
 }
