Wait for repeated data where the client has the time

Ruled out: a lower bound alone (openings of flows that were reset come near it). Change: silence alone resets a flow only if its route's latency objective is below 400 ms; else it takes a refusal, data repeated without an answer (200 ms), or 1 s. And an overload counts for 5 s after its last sign. Test: TestAFlowWithTimeWaitsForRepeatedData.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -77,7 +77,7 @@
 
 // resetHopeless ends the flows that wait for a target that is gone.
 func (e *Engine) resetHopeless(now time.Duration, r *record) {
-	if !r.gone(now) {
+	if !r.seemsGone(now) {
 		return
 	}
 	for _, f := range e.flows {
@@ -202,7 +202,7 @@
 		e.records.missedOne(now, f.record, false)
 	}
 	newRequest := f.waiting && !wasWaiting
-	if !f.hopeless(now) && !(newRequest && f.record.gone(now)) {
+	if !f.hopeless(now) && !(newRequest && f.targetGone(now)) {
 		return true
 	}
 	e.forget(key)
@@ -215,7 +215,8 @@
 // or this host sees the flow for the first time.
 func (e *Engine) opened(now time.Duration, key state.FlowKey, route *catalog.RouteEntry, target *catalog.Target, p *Packet, before *flow) *flow {
 	r := e.records.of(target, now)
-	f := &flow{key: key, idempotent: route.Idempotent, lastSeen: now, record: r, nextSeq: p.Seq, ack: p.Ack}
+	f := newFlow(now, key, route)
+	f.record, f.nextSeq, f.ack = r, p.Seq, p.Ack
 	if before != nil {
 		if o := before.opening; o != nil && contains(o.tried, r) {
 			f.openSeq = o.seq
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -442,3 +442,27 @@
 	}
 	require.Len(t, b.engine.Due(b.now, nil), 1)
 }
+
+// Where the objective leaves time, silence alone resets nothing, overload or not: a
+// host of 91 sees too little of an overload to tell.
+func TestAFlowWithTimeWaitsForRepeatedData(t *testing.T) {
+	for _, c := range []struct {
+		objective time.Duration
+		resets    int
+	}{{patientObjective - 1, 1}, {patientObjective, 0}} {
+		b := newBed(t, order(1, "a"), order(2, "a"))
+		b.engine.view.Routes[feedAddress].Objective = c.objective
+		for range samplesNeeded {
+			b.engine.records.all.sample()
+		}
+		caller := b.establishAt(feedAddress, "t1")
+		caller.request()
+		r := b.engine.records.targets[order(1, "a").ID]
+		b.engine.records.missedOne(b.now, r, false)
+		b.now += 120 * time.Millisecond
+		require.Equal(t, 1, b.check(nobody))
+		require.Len(t, b.engine.Due(b.now, nil), c.resets)
+		b.now += 80 * time.Millisecond
+		require.Equal(t, ActionReset, caller.again().Action, "repeated data is proof for both")
+	}
+}
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -14,7 +14,10 @@
 type flow struct {
 	key        state.FlowKey
 	idempotent bool
-	lastSeen   time.Duration
+	// hurried flows have a latency objective that leaves no time to wait for repeated
+	// data before they are reset.
+	hurried  bool
+	lastSeen time.Duration
 
 	opening *opening
 	// record is set once the flow is open; openSeq is the sequence number of its
@@ -33,6 +36,11 @@
 	lastRepeat time.Duration
 }
 
+// newFlow returns a flow of a route.
+func newFlow(now time.Duration, key state.FlowKey, route *catalog.RouteEntry) *flow {
+	return &flow{key: key, idempotent: route.Idempotent, hurried: route.Objective < patientObjective, lastSeen: now}
+}
+
 // opening is an opening that no target has answered yet, as far as seen.
 type opening struct {
 	seq   uint32
@@ -138,5 +146,14 @@
 	if f.opening != nil || !f.idempotent {
 		return false
 	}
-	return (f.waiting || f.repeats > 0) && f.record.gone(now)
+	return (f.waiting || f.repeats > 0) && f.targetGone(now)
+}
+
+// targetGone tells that the flow's target is gone, by as much proof as there is time
+// for.
+func (f *flow) targetGone(now time.Duration) bool {
+	if f.hurried {
+		return f.record.seemsGone(now)
+	}
+	return f.record.gone(now)
 }
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -15,6 +15,9 @@
 	overloadSampleWeight = 0.005
 	// samplesNeeded are needed before anything is usual.
 	samplesNeeded = 5
+	// overloadLasts is the number of samples for which an overload is not over yet: the
+	// targets still work on what they queued.
+	overloadLasts = 5
 )
 
 // load is the work of all targets that passes through this host, and what is usual. A
@@ -29,11 +32,17 @@
 	lastOpenings  int
 	usualOpenings float64
 	samples       int
+	// lasts is the number of samples for which the last overload still counts.
+	lasts int
 }
 
 // sample takes the present numbers into the usual ones. It is called each second.
 func (l *load) sample() {
 	weight := sampleWeight
+	l.lasts = max(0, l.lasts-1)
+	if l.above() {
+		l.lasts = overloadLasts
+	}
 	switch {
 	case l.samples < samplesNeeded:
 		l.samples++
@@ -49,8 +58,10 @@
 
 // high tells that all targets may be overloaded. So may they be shortly after the start,
 // when clients come back with what they could not send before.
-func (l *load) high() bool {
-	return l.samples < samplesNeeded ||
-		float64(l.waiting) > overloadFactor*l.usualWaiting+waitingSlack ||
+func (l *load) high() bool { return l.samples < samplesNeeded || l.lasts > 0 || l.above() }
+
+// above tells that there is several times the usual work now.
+func (l *load) above() bool {
+	return float64(l.waiting) > overloadFactor*l.usualWaiting+waitingSlack ||
 		float64(max(l.openings, l.lastOpenings)) > overloadFactor*l.usualOpenings+openingsSlack
 }
--- a/internal/coordination/steer/load_test.go
+++ b/internal/coordination/steer/load_test.go
@@ -34,8 +34,11 @@
 	require.False(t, l.high(), "flows that were reset are opened again")
 	l.openings = 40
 	require.True(t, l.high(), "within the second")
-	l.sample()
-	require.True(t, l.high(), "and in the next")
+	for range 1 + overloadLasts {
+		l.sample()
+		require.True(t, l.high(), "targets still work on what they queued")
+		l.openings = 7
+	}
 	l.sample()
 	require.False(t, l.high())
 }
--- a/internal/coordination/steer/opening.go
+++ b/internal/coordination/steer/opening.go
@@ -23,7 +23,7 @@
 		e.forget(key)
 	}
 	e.records.all.openings++
-	f = &flow{key: key, idempotent: route.Idempotent, lastSeen: now}
+	f = newFlow(now, key, route)
 	f.opening = &opening{seq: p.Seq, pool: e.pick(route), began: now}
 	f.opening.size = copy(f.opening.raw[:], p.Raw)
 	verdict := e.offer(now, f, ReasonPlaced)
--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -50,8 +50,7 @@
 }
 
 // gone tells that the target does not answer, by evidence that is recent enough
-// to reset flows by. A target that takes no connection may be overloaded, as others
-// then are, too; it still acknowledges data at once.
+// to reset flows by.
 func (r *record) gone(now time.Duration) bool {
 	switch {
 	case !r.dead || now-r.confirmed > evidenceLifetime:
@@ -59,7 +58,13 @@
 	case r.refused || now-r.lastAnswer >= silentAfter:
 		return true
 	}
-	return r.missedData || r.beyondCut || !r.all.high()
+	return r.missedData || r.beyondCut
+}
+
+// seemsGone tells so by silence alone. A target that takes no connection may be
+// overloaded, as others then are, too; it still acknowledges data at once.
+func (r *record) seemsGone(now time.Duration) bool {
+	return r.gone(now) || r.dead && now-r.confirmed <= evidenceLifetime && !r.all.high()
 }
 
 // basis is what a reset of a flow at the target rests on.
@@ -255,7 +260,7 @@
 	}
 	for _, other := range rs.targets {
 		if other.domain == r.domain && other.open+other.offers > 0 {
-			other.beyondCut = other.beyondCut || other != r && r.gone(now)
+			other.beyondCut = other.beyondCut || other != r && r.seemsGone(now)
 			rs.check(now, other)
 		}
 	}
--- a/internal/coordination/steer/settings.go
+++ b/internal/coordination/steer/settings.go
@@ -32,6 +32,9 @@
 	// firstRepeat is the time after which a client repeats data, less what the ways of
 	// both packets may differ by.
 	firstRepeat = 190 * time.Millisecond
+	// patientObjective is the latency objective from which on a client can wait for its
+	// own repeat, which comes after 200 ms, and for the try after it.
+	patientObjective = 400 * time.Millisecond
 	// silentAfter is the time without an answer after which a target that takes no
 	// connection is gone, not busy: a busy one is seen to answer some times a second.
 	silentAfter = time.Second
