Do not take a full target's refusal for its end

Change: a refusal counts at once unless there is an overload; then it takes repeated data or 1 s without an answer, as silence does.

--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -50,15 +50,16 @@
 }
 
 // gone tells that the target does not answer, by evidence that is recent enough
-// to reset flows by.
+// to reset flows by. A target with as many connections as it holds refuses a check,
+// too; that takes an overload.
 func (r *record) gone(now time.Duration) bool {
 	switch {
 	case !r.dead || now-r.confirmed > evidenceLifetime:
 		return false
-	case r.refused || now-r.lastAnswer >= silentAfter:
+	case now-r.lastAnswer >= silentAfter:
 		return true
 	}
-	return r.missedData || r.beyondCut
+	return r.missedData || r.beyondCut || r.refused && !r.all.high()
 }
 
 // seemsGone tells so by silence alone. A target that takes no connection may be
