Reset in an overload only what stays unanswered for long

Change: in an overload it takes repeated data and 1 s without any answer, which two repeats have passed. Shortly after a start repeated data is enough, as before.

--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -475,3 +475,25 @@
 		require.Equal(t, ActionReset, caller.again().Action, "repeated data is proof for both")
 	}
 }
+
+// In an overload a target drops packets: one repeat that goes unanswered is no proof, a
+// second of them is.
+func TestInAnOverloadOnlyLongSilenceCounts(t *testing.T) {
+	b := newBed(t, order(1, "a"), order(2, "a"))
+	for range samplesNeeded {
+		b.engine.records.all.sample()
+	}
+	caller := b.establishAt(feedAddress, "t1")
+	caller.request()
+	b.engine.records.all.waiting += 100
+	for _, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
+		b.now += wait
+		require.Equal(t, ActionForward, caller.again().Action)
+		b.check(nobody)
+		require.Empty(t, b.engine.Due(b.now, nil))
+	}
+	b.now += 800 * time.Millisecond
+	b.engine.Due(b.now, nil)
+	b.check(nobody)
+	require.Equal(t, ActionReset, caller.again().Action)
+}
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -58,7 +58,12 @@
 
 // high tells that all targets may be overloaded. So may they be shortly after the start,
 // when clients come back with what they could not send before.
-func (l *load) high() bool { return l.samples < samplesNeeded || l.lasts > 0 || l.above() }
+func (l *load) high() bool { return l.samples < samplesNeeded || l.overloaded() }
+
+// overloaded tells that there is several times the usual work, or was a moment ago.
+func (l *load) overloaded() bool {
+	return l.samples == samplesNeeded && (l.lasts > 0 || l.above())
+}
 
 // above tells that there is several times the usual work now.
 func (l *load) above() bool {
--- a/internal/coordination/steer/record.go
+++ b/internal/coordination/steer/record.go
@@ -50,16 +50,17 @@
 }
 
 // gone tells that the target does not answer, by evidence that is recent enough
-// to reset flows by. A target with as many connections as it holds refuses a check,
-// too; that takes an overload.
+// to reset flows by. In an overload a target drops packets and refuses connections, so
+// that only data repeated for long counts.
 func (r *record) gone(now time.Duration) bool {
+	silent := now-r.lastAnswer >= silentAfter
 	switch {
 	case !r.dead || now-r.confirmed > evidenceLifetime:
 		return false
-	case now-r.lastAnswer >= silentAfter:
-		return true
+	case r.all.overloaded():
+		return r.missedData && silent
 	}
-	return r.missedData || r.beyondCut || r.refused && !r.all.high()
+	return silent || r.missedData || r.beyondCut || r.refused && !r.all.high()
 }
 
 // seemsGone tells so by silence alone. A target that takes no connection may be
