Report a write as unknown when only its retry was refused

Cause: Client.retryWrite returned the refusal of the retry (rate limit, open circuit, hold-off) as the outcome of the whole write, although the first attempt had been sent without a response and may still run. Callers were told that a write had not run that then ran. A conflict of the retry whose object still had the expected version was returned as a conflict in the same way.

Change: a refused or conflicting retry leaves the write's outcome unknown unless the object shows that it was written.

Test: 'executed after the retry was rate limited' in TestWritesWithoutResponseAreReadBack failed first (result refused, version 1 written).

--- a/internal/transport/store/readback.go
+++ b/internal/transport/store/readback.go
@@ -32,18 +32,18 @@
 	return outcome
 }
 
-// retryWrite sends the write again. A version conflict may then be caused by the first
-// attempt, if the platform executed it late.
+// retryWrite sends the write again. A refusal or a version conflict then concerns this
+// attempt only: the platform may still execute the first one, or may have executed it
+// meanwhile.
 func (c *Client) retryWrite(ctx context.Context, call objects.Call) objects.Outcome {
 	outcome := c.runWithRetries(ctx, call)
-	if outcome.Result != objects.ResultConflict {
-		return outcome
-	}
-	switch writeStatusOf(call, outcome) {
-	case statusWritten:
-		return objects.Outcome{Result: objects.ResultOK, Object: outcome.Object}
-	case statusOverwritten:
-		return objects.Outcome{Result: objects.ResultUnknown, Object: outcome.Object}
+	switch {
+	case outcome.Result == objects.ResultRefused:
+		outcome.Result = objects.ResultUnknown
+	case outcome.Result == objects.ResultConflict && writeStatusOf(call, outcome) == statusWritten:
+		outcome.Result = objects.ResultOK
+	case outcome.Result == objects.ResultConflict:
+		outcome.Result = objects.ResultUnknown
 	}
 	return outcome
 }
--- a/internal/transport/store/readback_test.go
+++ b/internal/transport/store/readback_test.go
@@ -40,8 +40,14 @@
 			return []fault{lostResponse, malformedResponse, malformedResponse, malformedResponse}
 		}, objects.ResultUnknown, 1},
 		"overwritten by other client": {func(env *faultEnv) []fault { return []fault{overwritten(env)} }, objects.ResultUnknown, 2},
-		"rate limited":                {func(*faultEnv) []fault { return []fault{rateLimited} }, objects.ResultRefused, 0},
-		"unavailable once":            {func(*faultEnv) []fault { return []fault{unavailable} }, objects.ResultOK, 1},
+		"executed after the retry was rate limited": {func(*faultEnv) []fault {
+			return []fault{lateExecution, noFault, rateLimited}
+		}, objects.ResultUnknown, 1},
+		"request lost, retry rate limited": {func(*faultEnv) []fault {
+			return []fault{lostRequest, noFault, rateLimited}
+		}, objects.ResultUnknown, 0},
+		"rate limited":     {func(*faultEnv) []fault { return []fault{rateLimited} }, objects.ResultRefused, 0},
+		"unavailable once": {func(*faultEnv) []fault { return []fault{unavailable} }, objects.ResultOK, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
