Use the result of a target check that arrives while the host stalls

Cause: awaitDial waits for the connection and for the end of a step at once. On a host that gets no processor time both are there when it runs again, select takes either one, and the late step declared the attempt inconclusive: a refused connection was thrown away, four times in a row the target counted as alive, and 'target does not answer' was not logged.

Change: a result that has arrived counts, also when the step ended late. Only an attempt without a result is inconclusive on a host that stalled.

Test: TestDialResultCountsOnStalledHost, failed first.

--- a/internal/edge/checker.go
+++ b/internal/edge/checker.go
@@ -191,7 +191,8 @@
 }
 
 // awaitDial returns the result if it arrives within limit, a multiple of waitStep;
-// errNoAnswer if it does not, errStalled if the host did not run in time.
+// errNoAnswer if it does not, errStalled if the host did not run in time. A result counts
+// even if the host stalled while it arrived.
 func awaitDial(dialed <-chan dialResult, limit time.Duration, after func(time.Duration) <-chan time.Time) (dialResult, error) {
 	for range limit / waitStep {
 		began := time.Now()
@@ -200,16 +201,16 @@
 			return result, nil
 		case <-after(waitStep):
 		}
+		select {
+		case result := <-dialed:
+			return result, nil
+		default:
+		}
 		if time.Since(began) > waitStep+waitStepTolerance {
 			return dialResult{}, errStalled
 		}
 	}
-	select {
-	case result := <-dialed:
-		return result, nil
-	default:
-		return dialResult{}, errNoAnswer
-	}
+	return dialResult{}, errNoAnswer
 }
 
 // closeLateConn closes a connection that is established after dial returned an error.
--- a/internal/edge/checker_test.go
+++ b/internal/edge/checker_test.go
@@ -80,6 +80,27 @@
 	})
 }
 
+// A host that stalls until both the result and the end of the wait are there must use the
+// result: it took any of the two, and a target that had refused the connection counted as
+// alive.
+func TestDialResultCountsOnStalledHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 50 {
+			dialed := make(chan dialResult, 1)
+			stalled := func(d time.Duration) <-chan time.Time {
+				time.Sleep(d + waitStepTolerance + time.Millisecond)
+				dialed <- dialResult{err: syscall.ECONNREFUSED}
+				ended := make(chan time.Time, 1)
+				ended <- time.Now()
+				return ended
+			}
+			result, err := awaitDial(dialed, checkTimeout, stalled)
+			require.NoError(t, err)
+			require.ErrorIs(t, result.err, syscall.ECONNREFUSED)
+		}
+	})
+}
+
 // attemptUntilConclusive repeats an attempt until the host did not stall during it. Next
 // to other tests it may stall, and the attempt is inconclusive.
 func attemptUntilConclusive(t *testing.T, check steer.Check) (alive bool) {
