--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -49,7 +49,7 @@
 	leastImportantLimit = 0.5
 	// reservedShare is the number of new flows admitted above the limit for each answer, so
 	// that requests on open flows don't take all slots; maxReserved bounds those saved up.
-	reservedShare = 0.3
+	reservedShare = 0.5
 	maxReserved   = 2
 	// calmWindows is the number of consecutive windows without a queue and without a refusal
 	// that end an overload.
