--- a/cmd/guava-standin/main.go
+++ b/cmd/guava-standin/main.go
@@ -27,7 +27,6 @@
   guava-standin platform --listen 127.0.0.1:8500 --hosts hosts.json
   guava-standin upstream --config upstreams.toml
   guava-standin callers --config callers.toml
-  guava-standin slopes --series flows --out out/slopes --seed 1
 
 scripts/demo.sh writes such files and runs everything.`
 
@@ -39,7 +38,7 @@
 }
 
 func main() {
-	commands := []command{newPlatformCommand(), newHostsCommand(), newUpstreamCommand(), newCallersCommand(), newSlopesCommand(), newEdgeCommand()}
+	commands := []command{newPlatformCommand(), newHostsCommand(), newUpstreamCommand(), newCallersCommand(), newEdgeCommand()}
 	parser := flaggy.NewParser("guava-standin")
 	parser.Description = "Simulated platform, upstreams and callers, for development and tests only."
 	parser.Version = version
