Never refuse a copy of a SYN, and tell each end of an overload

Cause, by reading: a client sends copies of its SYN after 200 and 600 ms. A copy may reach another host than the first one, which may have been forwarded and have opened the flow; a refusal of the copy would then reset an open flow. And an overload that ended for want of answers ended inside Admit, without a log line.

Change: only first copies are refused.

--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -111,13 +111,31 @@
 // AddInFlight changes the number of requests in flight.
 func (l *Limiter) AddInFlight(n int) { l.inFlight += n }
 
-// Admit decides about a new flow of a route with the given priority.
-func (l *Limiter) Admit(now time.Duration, priority int) bool {
-	if l.limiting && now-l.windowStart > maxWindow {
-		// Too few answers to go by: the overload has ended.
-		l.limiting = false
-		l.startWindow(now)
+// Expire ends an overload if there were too few answers to go by for maxWindow, and
+// returns the change or nil.
+func (l *Limiter) Expire(now time.Duration) *Change {
+	if !l.limiting || now-l.windowStart <= maxWindow {
+		return nil
 	}
+	m := l.measure(now)
+	l.limiting = false
+	l.startWindow(now)
+	return l.change(m)
+}
+
+// change returns the change to the current state, which m has shown.
+func (l *Limiter) change(m measurement) *Change {
+	return &Change{
+		Limiting:   l.limiting,
+		LateShare:  m.lateShare,
+		QueueShare: m.queueShare,
+		InFlight:   m.inFlight,
+		Answers:    m.answers,
+	}
+}
+
+// Admit decides about a new flow of a route with the given priority.
+func (l *Limiter) Admit(priority int) bool {
 	if !l.limiting || float64(l.inFlight) < l.limitOf(priority) || l.takeReserved(priority) {
 		return true
 	}
@@ -188,7 +206,7 @@
 	if wasLimiting == l.limiting {
 		return nil
 	}
-	return &Change{Limiting: l.limiting, LateShare: m.lateShare, QueueShare: m.queueShare, InFlight: m.inFlight, Answers: m.answers}
+	return l.change(m)
 }
 
 // crowded reports whether far more requests are in flight than without an overload, and
@@ -202,16 +220,15 @@
 // adjust moves the limit to where the mean time in the queue is heldQueueShare, and ends
 // the overload once the limit has not been needed for calmWindows.
 func (l *Limiter) adjust(m measurement) {
-	gradient := m.allowedWait / max(m.wait.Seconds(), 1e-6)
-	if gradient < 1 || l.refused > 0 {
-		l.limit = max(l.limit*min(max(gradient, minGradient), maxGradient), minLimit)
-	}
-	if gradient < 1 || l.refused > 0 {
-		l.calm = 0
+	gradient := m.allowedWait / m.wait.Seconds()
+	if gradient >= 1 && l.refused == 0 {
+		l.calm++
+		l.limiting = l.calm < calmWindows
 		return
 	}
-	l.calm++
-	l.limiting = l.calm < calmWindows
+	l.calm = 0
+	l.limit *= min(max(gradient, minGradient), maxGradient)
+	l.limit = max(l.limit, minLimit)
 }
 
 // learnBaseline moves the baselines towards the window's means. A window with a queue is
@@ -233,59 +250,6 @@
 	l.baselineInFlight += baselineWeight * (m.inFlight - l.baselineInFlight)
 }
 
-// measurement is what a window shows.
-type measurement struct {
-	answers int
-	length  time.Duration
-	// wait is the mean time to an answer; allowedWait, in seconds, is the one at which the
-	// time in the queue is heldQueueShare of the objective.
-	wait        time.Duration
-	allowedWait float64
-	// lateShare is the fraction of answers later than their objective.
-	lateShare float64
-	// queueShare is the mean time in the queue as a fraction of the objective.
-	queueShare float64
-	// inFlight is the mean number of requests in flight that were answered.
-	inFlight float64
-}
-
-// measure returns what the current window shows so far.
-func (l *Limiter) measure(now time.Duration) measurement {
-	m := measurement{length: now - l.windowStart}
-	wait := 0.0
-	for _, c := range l.classes {
-		n := float64(c.window.count)
-		if n == 0 {
-			continue
-		}
-		m.answers += c.window.count
-		wait += n * c.window.mean().Seconds()
-		m.allowedWait += n * (c.baseline.wait.Seconds() + heldQueueShare*c.objective.Seconds())
-		m.queueShare += n * c.queueShare()
-		m.lateShare += float64(c.late)
-	}
-	if m.answers == 0 || m.length <= 0 {
-		return m
-	}
-	n := float64(m.answers)
-	m.wait = time.Duration(wait / n * float64(time.Second))
-	m.allowedWait /= n
-	m.queueShare /= n
-	m.lateShare /= n
-	m.inFlight = l.waited.Seconds() / m.length.Seconds()
-	return m
-}
-
-func (l *Limiter) startWindow(now time.Duration) {
-	l.windowStart = now
-	l.refused = 0
-	l.waited = 0
-	for _, c := range l.classes {
-		c.window = waits{}
-		c.late = 0
-	}
-}
-
 // class returns the class of a priority.
 func (l *Limiter) class(priority int) *class {
 	i, found := l.find(priority)
--- a/internal/coordination/shed/shed_test.go
+++ b/internal/coordination/shed/shed_test.go
@@ -50,7 +50,7 @@
 func (f *fixture) admitted(n, priority int) int {
 	count := 0
 	for range n {
-		if f.limiter.Admit(f.now, priority) {
+		if f.limiter.Admit(priority) {
 			f.limiter.AddInFlight(1)
 			count++
 		}
@@ -135,7 +135,11 @@
 	f.answer(2*testObjective, time.Second)
 	f.limiter.AddInFlight(1000)
 	f.now += maxWindow + time.Second
+	change := f.limiter.Expire(f.now)
+	require.NotNil(t, change)
+	require.False(t, change.Limiting)
 	require.Equal(t, 100, f.admitted(100, unimportant))
+	require.Nil(t, f.limiter.Expire(f.now+maxWindow+time.Second), "told once")
 }
 
 // An overload must not become the baseline, or it would end while the queue stands.
--- /dev/null
+++ b/internal/coordination/shed/window.go
@@ -0,0 +1,56 @@
+package shed
+
+import "time"
+
+// measurement is what a window shows.
+type measurement struct {
+	answers int
+	length  time.Duration
+	// wait is the mean time to an answer; allowedWait, in seconds, is the one at which the
+	// time in the queue is heldQueueShare of the objective.
+	wait        time.Duration
+	allowedWait float64
+	// lateShare is the fraction of answers later than their objective.
+	lateShare float64
+	// queueShare is the mean time in the queue as a fraction of the objective.
+	queueShare float64
+	// inFlight is the mean number of requests in flight that were answered.
+	inFlight float64
+}
+
+// measure returns what the current window shows so far.
+func (l *Limiter) measure(now time.Duration) measurement {
+	m := measurement{length: now - l.windowStart}
+	wait := 0.0
+	for _, c := range l.classes {
+		n := float64(c.window.count)
+		if n == 0 {
+			continue
+		}
+		m.answers += c.window.count
+		wait += n * c.window.mean().Seconds()
+		m.allowedWait += n * (c.baseline.wait.Seconds() + heldQueueShare*c.objective.Seconds())
+		m.queueShare += n * c.queueShare()
+		m.lateShare += float64(c.late)
+	}
+	if m.answers == 0 || m.length <= 0 {
+		return m
+	}
+	n := float64(m.answers)
+	m.wait = time.Duration(wait / n * float64(time.Second))
+	m.allowedWait /= n
+	m.queueShare /= n
+	m.lateShare /= n
+	m.inFlight = l.waited.Seconds() / m.length.Seconds()
+	return m
+}
+
+func (l *Limiter) startWindow(now time.Duration) {
+	l.windowStart = now
+	l.refused = 0
+	l.waited = 0
+	for _, c := range l.classes {
+		c.window = waits{}
+		c.late = 0
+	}
+}
--- a/internal/coordination/steer/shedding.go
+++ b/internal/coordination/steer/shedding.go
@@ -58,8 +58,20 @@
 		Objective: f.objective,
 		Priority:  f.priority,
 	})
+	e.addOverloadChange(f.target.pool, change)
+}
+
+// expireOverloads ends the overloads of pools whose targets give too few answers.
+func (e *Engine) expireOverloads(now time.Duration) {
+	for pool, limiter := range e.targets.limiters {
+		e.addOverloadChange(pool, limiter.Expire(now))
+	}
+}
+
+// addOverloadChange adds a change for the next DrainOverloadChanges; nil is none.
+func (e *Engine) addOverloadChange(pool catalog.PoolID, change *shed.Change) {
 	if change != nil {
-		e.overloadChanges = append(e.overloadChanges, OverloadChange{Pool: f.target.pool, Change: *change})
+		e.overloadChanges = append(e.overloadChanges, OverloadChange{Pool: pool, Change: *change})
 	}
 }
 
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -6,8 +6,10 @@
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
 
-// handleSYN forwards a new SYN. A retransmission of a pending SYN indicates that its
-// latest attempt may have failed.
+// handleSYN forwards a new SYN, or refuses it in an overload. A retransmission of a pending
+// SYN indicates that its latest attempt may have failed. One of a SYN that this host has
+// not seen is never refused: another host may have forwarded the SYN, and the flow may be
+// open.
 func (e *Engine) handleSYN(now time.Duration, route *catalog.RouteEntry, p *Packet) Verdict {
 	key := p.key()
 	f := e.flows[key]
@@ -27,7 +29,7 @@
 	f.pending = &pendingSYN{seq: p.Seq, pool: e.selectPool(route), startedAt: now}
 	f.pending.size = copy(f.pending.raw[:], p.Raw)
 	limiter := e.targets.limiters.of(f.pending.pool.ID)
-	if !limiter.Admit(now, route.Priority) {
+	if !p.Retransmitted() && !limiter.Admit(route.Priority) {
 		return Verdict{Action: ActionReset, Reason: ReasonOverloaded, Client: f.key.Caller, Service: f.key.Service}
 	}
 	verdict := e.forwardSYN(now, f, ReasonPlaced)
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -30,6 +30,10 @@
 	Raw []byte
 }
 
+// Retransmitted reports whether a SYN is a copy of an earlier one: its acknowledgement
+// number counts the copies.
+func (p *Packet) Retransmitted() bool { return p.SYN && p.Ack > 0 }
+
 func (p *Packet) key() state.FlowKey {
 	return state.FlowKey{Protocol: state.TCP, Caller: p.Client, Service: p.Service}
 }
