Keep what is newer than the store when it was restored from a backup

Cause: no program knew the header Store-Era, and revisions were taken for a clock that never goes back. After a restore a leaving target took new flows again, changes at revisions that were passed again were never read, and a host that started took the backup's configuration. Change: a position is an era and a revision, in the store client, followers, replicas and what hosts tell each other. A new era is listed from the store and replaces what was read; entries older than what is known, by start and sequence, are not applied for 6 s; a configuration never goes back, and a host that starts asks another for a newer one. A page without a revision is no answer.

--- a/internal/coordination/follow/answer.go
+++ b/internal/coordination/follow/answer.go
@@ -16,29 +16,30 @@
 	Complete bool
 	// Failed is set if the store gave no usable answer.
 	Failed bool
+	// Restored is set at the end of a list that replaces all that is known: the store was
+	// restored from a backup. Objects and AllKeys then hold the whole list.
+	Restored bool
 }
 
 // HandleStoreOutcome processes the outcome of the call in flight, made to the store.
 func (f *Follower) HandleStoreOutcome(now time.Duration, call objects.Call, outcome objects.Outcome) Change {
 	f.inFlight = false
-	switch outcome.Result {
-	case objects.ResultOK:
-		f.storeFailures = 0
-		f.lastStoreAnswer = now
-		change := f.applyPage(now, call, outcome.Page, SourceStore, 0)
-		f.startCycle()
-		return change
-	case objects.ResultExpired:
-		f.storeFailures = 0
-		f.lastStoreAnswer = now
+	answered := outcome.Result == objects.ResultOK || outcome.Result == objects.ResultExpired
+	if !answered || f.fromEarlierEra(outcome.Era) {
+		f.storeFailed(now, outcome.RetryAfter)
+		return Change{Failed: true}
+	}
+	f.storeFailures = 0
+	f.lastStoreAnswer = now
+	change := Change{}
+	if f.continuesFromKnown(call, outcome) {
+		change = f.applyPage(now, call, outcome.Page, SourceStore, 0)
+	} else {
+		f.startList()
 		f.dueAt = now
-		f.listedKeys = make(map[string]bool)
-		f.listFrom = ""
-		f.startCycle()
-		return Change{}
 	}
-	f.storeFailed(now, outcome.RetryAfter)
-	return Change{Failed: true}
+	f.startCycle()
+	return change
 }
 
 // HandlePeerOutcome processes the outcome of the call in flight, made to a peer; age is
@@ -46,7 +47,18 @@
 // to delay the next poll.
 func (f *Follower) HandlePeerOutcome(now time.Duration, call objects.Call, outcome objects.Outcome, age time.Duration) (change Change, unusable bool) {
 	f.inFlight = false
-	if outcome.Result != objects.ResultOK {
+	if f.listed && outcome.Era > f.era {
+		// Only the store itself proves a new era: read it now.
+		f.startList()
+		f.peerFailed(now)
+		return Change{}, true
+	}
+	if outcome.Result != objects.ResultOK || outcome.Era < f.era {
+		f.peerFailed(now)
+		return Change{}, true
+	}
+	if !f.enterEra(call, outcome.Era) {
+		f.startList()
 		f.peerFailed(now)
 		return Change{}, true
 	}
@@ -99,6 +111,10 @@
 // they were when it was requested.
 func (f *Follower) applyListPage(now time.Duration, page objects.Page, fresh bool) Change {
 	change := Change{Objects: page.Objects}
+	if f.restored {
+		f.restoredObjects = append(f.restoredObjects, page.Objects...)
+		change.Objects = nil
+	}
 	for _, object := range page.Objects {
 		f.listedKeys[object.Key] = true
 	}
@@ -115,6 +131,10 @@
 	change.AllKeys = f.listedKeys
 	change.Complete = firstPage && fresh
 	f.listedKeys = nil
+	if f.restored {
+		change.Objects, change.Restored = f.restoredObjects, true
+		f.restoredObjects, f.restored = nil, false
+	}
 	if change.Complete {
 		f.hasComplete = true
 		f.completeAsOf = f.callStart
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -44,14 +44,21 @@
 type Follower struct {
 	settings Settings
 	random   Random
-	// revision is the store revision after which the next poll starts. It is valid once
-	// listed is set.
+	// revision is the store revision after which the next poll starts, era the era in which
+	// it was read. Both are valid once listed is set.
 	revision uint64
+	era      objects.Era
 	listed   bool
 	// listFrom and listedKeys belong to a list that is being read page by page: the key
 	// after which the next page starts, and the keys so far. listedKeys is nil otherwise.
 	listFrom   string
 	listedKeys map[string]bool
+	// restored is set while that list replaces all that is known, since the store was
+	// restored from a backup. restoredObjects are its objects so far.
+	restored        bool
+	restoredObjects []objects.Object
+	// oldAnswers is the number of consecutive answers of the store from an earlier era.
+	oldAnswers int
 
 	inFlight bool
 	// callStart is when the newest call was made. completeAsOf is the time up to which all
@@ -106,6 +113,9 @@
 // Revision is the store revision up to which changes are known.
 func (f *Follower) Revision() uint64 { return f.revision }
 
+// Era is the store's era to which Revision belongs.
+func (f *Follower) Era() objects.Era { return f.era }
+
 // PollSoon makes the next poll due at once, or MinPollInterval after the start of the
 // previous call, and directs it to the store, which has the newest data. It does nothing
 // before the first list and while the store fails.
@@ -161,7 +171,7 @@
 }
 
 func (f *Follower) pollCall() objects.Call {
-	return objects.Call{Verb: objects.VerbWatch, Key: f.settings.Kind, After: f.revision}
+	return objects.Call{Verb: objects.VerbWatch, Key: f.settings.Kind, After: f.revision, Era: f.era}
 }
 
 // peerAllowed reports whether the next call may go to a peer. A list that replaces an
@@ -180,10 +190,9 @@
 
 func (f *Follower) listCall() objects.Call {
 	if f.listedKeys == nil {
-		f.listedKeys = make(map[string]bool)
-		f.listFrom = ""
+		f.startList()
 	}
 	// A later list must not be older than the data known already.
 	allowStale := f.settings.AllowStaleFirstList && !f.listed
-	return objects.Call{Verb: objects.VerbList, Key: f.settings.Kind, From: f.listFrom, Stale: allowStale}
+	return objects.Call{Verb: objects.VerbList, Key: f.settings.Kind, From: f.listFrom, Stale: allowStale, Era: f.era}
 }
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -38,6 +38,8 @@
 	// storeConnections and storeCalls allow one for each follower.
 	storeConnections = 2
 	storeCalls       = 2
+	// newerConfigCalls is for a question about a newer configuration.
+	newerConfigCalls = 1
 	// stepAsideCalls is for an overloaded host's request to step aside.
 	stepAsideCalls = 1
 	// breakerFailures and breakerOpenTime keep the followers from all calling a store
@@ -50,6 +52,9 @@
 	// outageGrace is how long after the store's return targets get to rewrite entries
 	// that expired while it was unavailable.
 	outageGrace = 2500 * time.Millisecond
+	// restoreDoubt is how long the store keeps the entry of a target that has left without
+	// removing it, at most.
+	restoreDoubt = 6 * time.Second
 	// departedMargin is how long a departed target is kept beyond the age of the oldest
 	// flow.
 	departedMargin = 15 * time.Second
@@ -71,6 +76,12 @@
 	storeUnavailable bool
 }
 
+// newerConfig is another host's answer to the question about a newer configuration.
+type newerConfig struct {
+	peer    netip.AddrPort
+	objects []objects.Object
+}
+
 // readRequest is a call that a follower requests.
 type readRequest struct {
 	resource *resource
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net/netip"
@@ -34,6 +35,10 @@
 	config  *follow.Follower
 	targets *follow.Follower
 	results chan readResult
+	// newerConfigs are answers to requestNewerConfig.
+	newerConfigs chan newerConfig
+	// configValue is the encoded configuration in force.
+	configValue json.RawMessage
 	// targetsReadRequested requests an immediate read of the targets.
 	targetsReadRequested chan struct{}
 	// firstPeerQuery signals a query from another host after a time without queries.
@@ -55,7 +60,7 @@
 }
 
 func newControl(e *Edge) (*control, error) {
-	pool, err := ants.NewPool(storeCalls+stepAsideCalls, ants.WithPanicHandler(repanic))
+	pool, err := ants.NewPool(storeCalls+stepAsideCalls+newerConfigCalls, ants.WithPanicHandler(repanic))
 	if err != nil {
 		return nil, oops.Code("call_pool").Wrap(err)
 	}
@@ -73,6 +78,7 @@
 		chooser:              peers.NewChooser(e.settings.Control, e.settings.Seeds, rand.Float64),
 		pool:                 pool,
 		results:              make(chan readResult, storeCalls),
+		newerConfigs:         make(chan newerConfig, newerConfigCalls),
 		targetsReadRequested: make(chan struct{}, 1),
 		firstPeerQuery:       make(chan struct{}, 1),
 		overloaded:           make(chan struct{}, 1),
@@ -81,6 +87,7 @@
 		directory: catalog.NewDirectory(catalog.Settings{
 			DepartedRetention: e.settings.MaxFlowAge + departedMargin,
 			OutageGrace:       outageGrace,
+			RestoreDoubt:      restoreDoubt,
 		}),
 	}
 	c.source.Store(&readSource{})
@@ -116,6 +123,8 @@
 			return
 		case r := <-c.results:
 			c.handleResult(r)
+		case newer := <-c.newerConfigs:
+			c.applyNewerConfig(c.edge.now(), newer)
 		case <-c.targetsReadRequested:
 			c.targets.PollSoon(c.edge.now())
 		case <-c.firstPeerQuery:
@@ -159,13 +168,24 @@
 
 // apply puts the changes of a call in force and makes them available to other hosts.
 func (c *control) apply(now time.Duration, r readResult, change follow.Change) {
-	change.Objects = c.peerServer.update(r.resource.kind, change, r.outcome.Page.Revision)
+	follower := r.resource.follower
+	if change.Restored {
+		c.recordRestore(now, r, change)
+	}
+	first := follower == c.config && c.configValue == nil
+	if follower == c.config {
+		change.Objects = c.keepNewerConfig(change.Objects)
+	}
+	change.Objects = c.peerServer.update(r.resource.kind, change, follower.Era(), r.outcome.Page.Revision)
 	if r.resource.apply(now, change) {
 		c.publish(now)
 		c.observeChange(r.resource, change)
 	}
 	if change.Complete {
-		c.peerServer.markCurrent(r.resource.kind, r.resource.follower.Revision(), r.requestedAt-r.reply.Age)
+		c.peerServer.markCurrent(r.resource.kind, follower.Era(), follower.Revision(), r.requestedAt-r.reply.Age)
+	}
+	if follower == c.config && (change.Restored || first && c.configValue != nil) {
+		c.requestNewerConfig(now)
 	}
 	c.source.Store(&readSource{peer: c.activePeer, storeUnavailable: c.storeUnavailable})
 	c.peerServer.setGraceUntil(c.directory.GraceUntil())
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -25,6 +25,7 @@
 		}
 		if c.directory.SetConfig(config) {
 			changed = true
+			c.configValue = object.Value
 			c.edge.log.Info("configuration in force", "config", config.Version, "revision", object.Revision, "routes", len(config.Routes))
 		}
 	}
@@ -56,7 +57,11 @@
 		c.edge.log.Warn("target entry not read", "target", object.Key, "revision", object.Revision, "error", err.Error())
 		return
 	}
-	c.directory.Put(target)
+	if !c.directory.Put(now, target) {
+		c.edge.log.Warn("target entry is older than what is known; not applied", "target", target.Name,
+			"draining", target.Draining, "sequence", target.Sequence, "revision", object.Revision)
+		return
+	}
 	c.edge.log.Info("target", "target", target.Name, "pool", string(target.Pool), "domain", string(target.Domain),
 		"draining", target.Draining, "revision", object.Revision)
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,6 +24,8 @@
 	sendFailed *metrics.Counter
 	checks     *metrics.Counter
 	stepsAside *metrics.Counter
+	// restores counts, for each kind of objects, the restores of the store from a backup.
+	restores *metrics.Counter
 	// handshakeTime is the time from a SYN to the client's next packet, decisionTime the
 	// time taken to decide about a SYN, both in seconds.
 	handshakeTime *metrics.PrometheusHistogram
@@ -53,6 +55,7 @@
 		badPackets:    set.NewCounter("guava_bad_packets_total"),
 		checks:        set.NewCounter("guava_target_checks_total"),
 		stepsAside:    set.NewCounter("guava_steps_aside_total"),
+		restores:      set.NewCounter("guava_store_restores_total"),
 		sendFailed:    set.NewCounter("guava_datagrams_not_sent_total"),
 		handshakeTime: set.NewPrometheusHistogramExt("guava_opening_seconds", handshakeBuckets),
 		decisionTime:  set.NewPrometheusHistogramExt("guava_decision_seconds", decisionBuckets),
--- a/internal/edge/peerclient.go
+++ b/internal/edge/peerclient.go
@@ -37,6 +37,7 @@
 		List:  r.call.Verb == objects.VerbList,
 		Key:   strings.TrimPrefix(r.call.From, r.resource.kind+"/"),
 		After: r.call.After,
+		Era:   r.call.Era,
 	}
 }
 
@@ -47,9 +48,9 @@
 	case r.err != nil:
 		return objects.Outcome{Result: objects.ResultUnknown}
 	case !r.reply.Known:
-		return objects.Outcome{Result: objects.ResultAbsent}
+		return objects.Outcome{Result: objects.ResultAbsent, Era: r.reply.Era}
 	}
-	return objects.Outcome{Page: r.reply.Page}
+	return objects.Outcome{Page: r.reply.Page, Era: r.reply.Era}
 }
 
 // handlePeerResult passes another host's reply to the follower and puts changes in
--- a/internal/edge/peerserver.go
+++ b/internal/edge/peerserver.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"net/netip"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/guavawharf/guavawharf/internal/state/replica"
 	"github.com/guavawharf/guavawharf/internal/transport/netrpc"
 	"github.com/guavawharf/guavawharf/internal/transport/peerlink"
+	"github.com/guavawharf/guavawharf/platform"
 )
 
 // Limits of the size of one answer to another host in bytes.
@@ -70,10 +72,15 @@
 }
 
 // update stores the changes of a call and returns the objects that are new to this host.
-func (r *peerServer) update(kind string, change follow.Change, revision uint64) []objects.Object {
+// era and revision are the store's at that call.
+func (r *peerServer) update(kind string, change follow.Change, era objects.Era, revision uint64) []objects.Object {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	stored := r.replicas[kind]
+	if change.Restored {
+		stored.Restore(change.Objects, era, revision)
+		return change.Objects
+	}
 	changed := stored.Put(change.Objects, revision)
 	if change.AllKeys != nil {
 		stored.RemoveUnlisted(change.AllKeys, revision)
@@ -81,12 +88,12 @@
 	return changed
 }
 
-// markCurrent records that all changes up to revision are known as of a time returned by
-// bootTime.
-func (r *peerServer) markCurrent(kind string, revision uint64, asOf time.Duration) {
+// markCurrent records that all changes up to revision of an era are known as of a time
+// returned by bootTime.
+func (r *peerServer) markCurrent(kind string, era objects.Era, revision uint64, asOf time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.replicas[kind].MarkComplete(revision, asOf)
+	r.replicas[kind].MarkComplete(era, revision, asOf)
 }
 
 // setGraceUntil sets the end of the grace period in which a missing entry does not prove
@@ -120,6 +127,13 @@
 	if stored == nil {
 		return peerapi.Answer{}
 	}
+	if read.NewerConfig {
+		return r.answerNewerConfig(stored, read.ConfigVersion)
+	}
+	if read.Era != 0 && read.Era != stored.Era() {
+		r.edge.metrics.countPeerRead(false)
+		return peerapi.Answer{Era: stored.Era()}
+	}
 	answer, limit := stored.ChangesSince(read.After, bootTime()), maxChangesSize
 	if read.List {
 		answer, limit = stored.List(read.Key, bootTime()), maxListSize
@@ -132,10 +146,26 @@
 		Known: answer.Known,
 		Age:   answer.Age,
 		Page:  answer.Page,
+		Era:   stored.Era(),
 		Doubt: max(0, r.graceUntil-now),
 	}
 }
 
+// answerNewerConfig returns the configuration in force here if it is newer than version.
+func (r *peerServer) answerNewerConfig(stored *replica.Replica, version uint64) peerapi.Answer {
+	if r.edge.configVersion() <= version {
+		return peerapi.Answer{Era: stored.Era()}
+	}
+	return peerapi.Answer{Known: true, Era: stored.Era(), Page: stored.List("", bootTime()).Page}
+}
+
+// replaceConfig stores an encoded configuration that is newer than that of the store.
+func (r *peerServer) replaceConfig(value json.RawMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replicas[platform.KindConfig].ReplaceValue(platform.NameConfig, value)
+}
+
 // pageSize returns the approximate size of a page on the wire in bytes.
 func pageSize(page objects.Page) int {
 	bytes := 0
--- a/internal/protocol/peerapi/peerapi.go
+++ b/internal/protocol/peerapi/peerapi.go
@@ -11,7 +11,7 @@
 
 // Version is the version of this interface. A query of another version gets an empty
 // reply.
-const Version = 1
+const Version = 2
 
 // Names of the net/rpc service and its methods.
 const (
@@ -36,6 +36,13 @@
 	List  bool
 	Key   string
 	After uint64
+	// Era is the era of After, 0 if the requesting host knows nothing yet. A host that
+	// knows another era does not answer.
+	Era objects.Era
+	// NewerConfig requests the configuration in force at the other host if its version is
+	// above ConfigVersion. The other fields but Kind are ignored.
+	NewerConfig   bool
+	ConfigVersion uint64
 }
 
 // Reply answers a Query. It is empty if the host is leaving or does not support the
@@ -60,6 +67,8 @@
 	// includes time during which the host was suspended.
 	Age  time.Duration
 	Page objects.Page
+	// Era is the store's era that the host knows, also if it does not have the data.
+	Era objects.Era
 	// Doubt is the rest of the grace period in which a missing object does not prove
 	// that its target is gone: the store was unavailable, and entries of running targets
 	// may have expired meanwhile.
--- a/internal/protocol/platformapi/binding.go
+++ b/internal/protocol/platformapi/binding.go
@@ -51,6 +51,9 @@
 	return object, err
 }
 
+// DecodeEra returns 0: this interface does not tell the store's era.
+func (Protocol) DecodeEra(http.Header) objects.Era { return 0 }
+
 // DecodePage decodes the response to a list or a watch.
 func (Protocol) DecodePage(body []byte) (objects.Page, error) {
 	var page objects.Page
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -44,6 +44,16 @@
 	// StartMillis is the target's start time in Unix milliseconds. A target that
 	// restarts under the same ID has lost its earlier flows.
 	StartMillis int64
+	// Sequence counts what the target has written about itself since its start.
+	Sequence uint64
+}
+
+// olderThan reports whether the target wrote this entry before the other one.
+func (t *Target) olderThan(other *Target) bool {
+	if t.StartMillis != other.StartMillis {
+		return t.StartMillis < other.StartMillis
+	}
+	return t.Sequence < other.Sequence
 }
 
 // PoolWeight is the relative weight of a pool in a route's new flows.
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -17,6 +17,10 @@
 	// counts as running: its entry may have expired during the outage and not have
 	// been written again yet.
 	OutageGrace time.Duration
+	// RestoreDoubt is how long after the store was restored from a backup its entries may
+	// belong to targets that have left: the store removes such an entry once the target has
+	// been silent for long enough.
+	RestoreDoubt time.Duration
 }
 
 // Directory collects the configuration and the target entries of the store and
@@ -40,6 +44,13 @@
 	// graceUntil is the end of the grace period in which a missing entry does not
 	// prove that its target is gone.
 	graceUntil time.Duration
+	// restoredAt is when the store was last found to have been restored from a backup,
+	// doubtUntil the end of the time in which its entries may be older than what is known.
+	// heldBack are the entries of targets that left before restoredAt; they are dropped
+	// unless the store still has them at doubtUntil.
+	restoredAt time.Duration
+	doubtUntil time.Duration
+	heldBack   map[string]Target
 	// listed reports whether the complete list of entries has been read at least
 	// once.
 	listed bool
@@ -48,6 +59,8 @@
 // departedTarget is a target whose entry was removed.
 type departedTarget struct {
 	target Target
+	// since is when the entry was removed.
+	since time.Duration
 	// offerUntil is the time until which the target still takes new flows: its entry
 	// may have expired during a store outage while the target runs.
 	offerUntil time.Duration
@@ -65,6 +78,7 @@
 
 		removedAddresses: make(map[netip.AddrPort]bool),
 		unreadable:       make(map[string]bool),
+		heldBack:         make(map[string]Target),
 	}
 }
 
@@ -140,11 +154,18 @@
 // prove that its target is gone.
 func (d *Directory) GraceUntil() time.Duration { return d.graceUntil }
 
-// Put adds or replaces the entry of a running target.
-func (d *Directory) Put(target Target) {
+// Put adds or replaces the entry of a running target. It returns false if it did not,
+// since the store was restored from a backup and the entry is from there and older than
+// what is known.
+func (d *Directory) Put(now time.Duration, target Target) bool {
+	if now < d.doubtUntil && d.outdated(&target) {
+		return false
+	}
 	delete(d.departed, target.Name)
 	delete(d.unreadable, target.Name)
+	delete(d.heldBack, target.Name)
 	d.targets[target.Name] = target
+	return true
 }
 
 // PutUnreadable records an entry that could not be decoded. It adds no target, but a
@@ -159,6 +180,7 @@
 // grace period.
 func (d *Directory) Remove(now time.Duration, name string) {
 	delete(d.unreadable, name)
+	delete(d.heldBack, name)
 	target, known := d.targets[name]
 	if !known {
 		return
@@ -166,6 +188,7 @@
 	delete(d.targets, name)
 	d.departed[name] = departedTarget{
 		target:      target,
+		since:       now,
 		offerUntil:  d.graceUntil,
 		retainUntil: now + d.settings.DepartedRetention,
 	}
@@ -185,6 +208,7 @@
 		}
 	}
 	maps.DeleteFunc(d.unreadable, func(name string, _ bool) bool { return !listed[name] })
+	maps.DeleteFunc(d.heldBack, func(name string, _ Target) bool { return !listed[name] })
 }
 
 // Targets returns the number of targets with an entry.
@@ -194,6 +218,7 @@
 // offer of a departed target ends next, which changes the view without new input; 0 for
 // never.
 func (d *Directory) View(now time.Duration) (*View, time.Duration) {
+	d.releaseHeldBack(now)
 	b := viewBuilder{view: &View{
 		Version:          d.config.Version,
 		IdleTimeout:      d.config.IdleTimeout,
@@ -210,6 +235,9 @@
 	if d.listed && now < d.graceUntil && (next == 0 || d.graceUntil < next) {
 		next = d.graceUntil
 	}
+	if len(d.heldBack) > 0 && (next == 0 || d.doubtUntil < next) {
+		next = d.doubtUntil
+	}
 	b.sortOffered()
 	for _, route := range d.config.Routes {
 		b.view.Routes[route.Address] = b.routeEntry(route, d.formerPools[route.Address])
--- a/internal/state/objects/objects.go
+++ b/internal/state/objects/objects.go
@@ -25,6 +25,10 @@
 	Deleted bool `json:"deleted,omitempty"`
 }
 
+// Era counts how often the store was restored from a backup: revisions of two eras can't
+// be compared. 0 means that the era is unknown.
+type Era uint64
+
 // Page is the result of a list or a watch.
 type Page struct {
 	// Revision is the store's revision that the page is current up to.
@@ -62,6 +66,8 @@
 	From string
 	// Stale allows a read to return outdated data, for stores that support it.
 	Stale bool
+	// Era is the era in which After was read. Other hosts need it, the store does not.
+	Era Era
 }
 
 // Result classifies the outcome of a call.
@@ -97,9 +103,11 @@
 
 // Outcome is the result of a Call with its data.
 type Outcome struct {
-	Result     Result
-	Object     Object
-	Page       Page
+	Result Result
+	Object Object
+	Page   Page
+	// Era is the store's era at the answer.
+	Era        Era
 	RetryAfter time.Duration
 }
 
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -32,6 +33,8 @@
 	// revision is the store's revision at the newest complete read, 0 before the
 	// first.
 	revision uint64
+	// era is the store's era to which the revisions belong.
+	era objects.Era
 	// lastChange is the revision of the newest change in the replica.
 	lastChange uint64
 	// asOf is the time at which the newest complete read was requested.
@@ -61,6 +64,27 @@
 	return applied
 }
 
+// Era returns the store's era to which the replica's revisions belong.
+func (r *Replica) Era() objects.Era { return r.era }
+
+// Restore replaces the whole replica by a list that was read at a revision of a new era.
+// The replica answers no query until the next MarkComplete.
+func (r *Replica) Restore(listed []objects.Object, era objects.Era, revision uint64) {
+	*r = *New()
+	r.era = era
+	r.completeSince = revision
+	r.Put(listed, revision)
+}
+
+// ReplaceValue replaces the value of an object by a newer one that the store has lost. The
+// object keeps its revision.
+func (r *Replica) ReplaceValue(key string, value json.RawMessage) {
+	if object, present := r.objects[key]; present {
+		object.Value = value
+		r.objects[key] = object
+	}
+}
+
 // RemoveUnlisted removes the objects that a complete list, read at a revision of the
 // store, does not contain.
 func (r *Replica) RemoveUnlisted(listed map[string]bool, revision uint64) {
@@ -87,10 +111,11 @@
 	}
 }
 
-// MarkComplete records that the replica has all changes up to a revision, from a read
-// that was requested at asOf. asOf is a time of the same clock as now in ChangesSince
-// and List.
-func (r *Replica) MarkComplete(revision uint64, asOf time.Duration) {
+// MarkComplete records that the replica has all changes up to a revision of an era, from
+// a read that was requested at asOf. asOf is a time of the same clock as now in
+// ChangesSince and List.
+func (r *Replica) MarkComplete(era objects.Era, revision uint64, asOf time.Duration) {
+	r.era = era
 	r.revision = max(r.revision, revision)
 	r.asOf = max(r.asOf, asOf)
 }
--- a/internal/transport/store/http.go
+++ b/internal/transport/store/http.go
@@ -56,7 +56,9 @@
 	if err != nil {
 		return attempt{cause: failureCause(ctx, err, true), sent: true}
 	}
-	return c.decodeResponse(call, response, body)
+	a := c.decodeResponse(call, response, body)
+	a.outcome.Era = c.settings.Protocol.DecodeEra(response.Header)
+	return a
 }
 
 // maxBodySize returns the limit for the response body of a call, in bytes.
--- a/internal/transport/store/settings.go
+++ b/internal/transport/store/settings.go
@@ -20,6 +20,9 @@
 	DecodeObject(body []byte) (objects.Object, error)
 	// DecodePage decodes the response body of a list or a watch.
 	DecodePage(body []byte) (objects.Page, error)
+	// DecodeEra decodes the store's era from the header of any response. It returns 0 if
+	// the header does not hold one.
+	DecodeEra(header http.Header) objects.Era
 }
 
 // Settings configures a Client. Zero fields take the default values.
