Open a connection to the store for each call

Cause: a second copy of an answer that arrives late, when its connection is in use again, was taken for the answer to the next call: TestSecondCopyOfAnAnswerReachesNoOtherCall got the first object for the second call. A poll of the targets answered by a copy of an earlier one counted as complete, and a copy of the configuration's answer moved the targets' revision on. Change: no connection of the store's client is used twice.

--- a/internal/transport/store/http.go
+++ b/internal/transport/store/http.go
@@ -17,14 +17,17 @@
 // maxObjectOverhead bounds the bytes of an object's response body besides its value.
 const maxObjectOverhead = 4 << 10
 
+// newHTTPClient returns a client that opens a connection for each request. On a reused one,
+// a late second copy of an answer would be taken for the answer to the next request, since
+// HTTP/1.1 does not number them.
 func newHTTPClient(s Settings) *http.Client {
 	dialer := &net.Dialer{Timeout: s.Timeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     s.MaxConnections,
-			MaxIdleConnsPerHost: s.MaxConnections,
-			DisableCompression:  true,
+			DialContext:        dialer.DialContext,
+			MaxConnsPerHost:    s.MaxConnections,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
