Learn no baseline of the load from idle seconds

Cause: hosts run for 10 s before their first packet. Their baseline of requests and SYNs was zero by then, so that the usual traffic counted as an overload for minutes, and in an overload no flow of a silent target is reset before 1 s of silence. Change: seconds without any traffic are no samples, and no overload is held while there is no baseline. The test fixtures learn their baseline from seconds with one SYN now, since idle ones don't count any more.

--- a/internal/coordination/steer/fixture_test.go
+++ b/internal/coordination/steer/fixture_test.go
@@ -173,6 +173,16 @@
 	return f.engine.HandleDeadlines(f.now, nil)
 }
 
+// learnBaseline plays the seconds with a little traffic after which there is a baseline of
+// the load.
+func (f *fixture) learnBaseline() {
+	load := &f.engine.targets.totalLoad
+	for range minSamples {
+		load.syns = 1
+		load.sample()
+	}
+}
+
 // runChecks completes the requested checks and returns their number.
 func (f *fixture) runChecks(alive func(catalog.TargetID) bool) (checked int) {
 	for _, check := range f.engine.DrainChecks() {
--- a/internal/coordination/steer/overload.go
+++ b/internal/coordination/steer/overload.go
@@ -36,11 +36,16 @@
 	holdSamples int
 }
 
-// sample updates the baseline with the current load. It must run once a second.
+// sample updates the baseline with the current load. It must run once a second. Idle
+// seconds are left out: by comparison with them the usual traffic would be an overload.
 func (l *loadTracker) sample() {
+	if l.syns == 0 && l.waiting == 0 && l.holdSamples == 0 {
+		l.lastSYNs = 0
+		return
+	}
 	weight := sampleWeight
 	l.holdSamples = max(0, l.holdSamples-1)
-	if l.aboveThreshold() {
+	if l.samples == minSamples && l.aboveThreshold() {
 		l.holdSamples = overloadHoldSamples
 	}
 	switch {
