Forward the packets that wait in the socket when a host leaves

Cause: a leaving host closed its socket once its time was over or no packet had been handled for a while. On a host that was short of processor time, packets that it had not read yet were lost, among them SYNs that no other host had seen. Change: the traffic loop ends once no packet waits, within 300 ms at most. Result: TestPacketsThatWaitWhenTheHostLeavesAreForwarded stalls the loop while the host leaves; it fails on the code before and passes now.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,8 @@
 	// shutdownMargin is reserved before the deadline for closing sockets and calls on a
 	// host that is short of processor time.
 	shutdownMargin = time.Second
+	// finishTimeout bounds the time to forward the packets that wait in the socket.
+	finishTimeout = 300 * time.Millisecond
 	// drainPollInterval is the time between checks whether packets still arrive.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -97,6 +99,12 @@
 	}()
 	<-leave
 	e.drain()
+	e.traffic.finish()
+	select {
+	case <-stopped:
+	case <-time.After(finishTimeout):
+		e.log.Warn("packets still wait in the socket at shutdown")
+	}
 	if err := e.traffic.socket.Close(); err != nil {
 		e.log.Error("cannot close the packet socket", "error", err.Error())
 	}
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/overload"
@@ -59,6 +60,8 @@
 	// readDeadline is the read deadline that was set last, since the start of the process;
 	// 0 once it has passed.
 	readDeadline time.Duration
+	// finishing is set once the loop is to end when no packet waits in the socket.
+	finishing atomic.Bool
 }
 
 func newTraffic(e *Edge, socket *udp.Socket, engine *steer.Engine) (*traffic, error) {
@@ -77,7 +80,14 @@
 	}, nil
 }
 
-// run forwards packets until the socket is closed. Packets that arrive before the host
+// finish makes run return once it has forwarded the packets that wait in the socket: a
+// host that was short of processor time may not have read them yet.
+func (t *traffic) finish() {
+	t.finishing.Store(true)
+	t.checker.wake()
+}
+
+// run forwards packets until finish or until the socket is closed. Packets that arrive before the host
 // is ready wait in the socket for up to startupWait: a client retransmits a dropped
 // packet only after 200 ms or more.
 func (t *traffic) run() {
@@ -101,6 +111,10 @@
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			t.readDeadline = 0
+			if settling && t.finishing.Load() {
+				t.flush()
+				return
+			}
 			if at, ok := t.engine.NextDeadline(); ok && at <= t.now && !settling {
 				settling = true
 				continue
@@ -111,7 +125,7 @@
 		default:
 			t.edge.log.Error("cannot read packets", "error", err.Error())
 		}
-		settling = false
+		settling = t.finishing.Load()
 		t.flush()
 		t.measureLoad()
 	}
