--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -40,6 +40,8 @@
 	storeCalls       = 2
 	// newerConfigCalls is for a question about a newer configuration.
 	newerConfigCalls = 1
+	// callsTimeout bounds the wait for running calls at shutdown.
+	callsTimeout = time.Second
 	// stepAsideCalls is for an overloaded host's request to step aside.
 	stepAsideCalls = 1
 	// breakerFailures and breakerOpenTime keep the followers from all calling a store
@@ -161,10 +163,23 @@
 	return requests
 }
 
+// start runs a call in the pool; close waits for it.
+func (c *control) start(call func()) error {
+	c.calls.Add(1)
+	err := c.pool.Submit(func() {
+		defer c.calls.Done()
+		call()
+	})
+	if err != nil {
+		c.calls.Done()
+	}
+	return err
+}
+
 // submit runs a call in the pool. If the pool rejects it, the followers see it as
 // refused by the store.
 func (c *control) submit(now time.Duration, requests []readRequest, call func()) {
-	err := c.pool.Submit(call)
+	err := c.start(call)
 	if err == nil {
 		return
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +29,8 @@
 	peerClient  *peerlink.Client
 	chooser     *peers.Chooser
 	pool        *ants.Pool
+	// calls counts the calls that run in the pool.
+	calls       sync.WaitGroup
 	directory   *catalog.Directory
 	followers   []*resource
 	// config and targets are the followers of the two kinds.
@@ -244,10 +246,27 @@
 // close cancels the calls, waits up to a second for them, and closes all connections.
 func (c *control) close() {
 	c.cancel()
-	if err := c.pool.ReleaseTimeout(time.Second); err != nil && !errors.Is(err, ants.ErrPoolClosed) {
-		c.edge.log.Warn("calls to the store or other hosts still running at shutdown", "error", err.Error())
+	// Not ReleaseTimeout, which waits for the pool's own goroutines in a busy loop.
+	c.pool.Release()
+	if !waitFor(&c.calls, callsTimeout) {
+		c.edge.log.Warn("calls to the store or other hosts still running at shutdown")
 	}
 	c.storeClient.Close()
 	c.peerClient.Close()
 	c.peerServer.close()
 }
+
+// waitFor waits for the group, at most for timeout, and reports whether it is done.
+func waitFor(group *sync.WaitGroup, timeout time.Duration) bool {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -21,7 +21,7 @@
 		c.applyStepAside(c.peerServer.StepAside(query), netip.AddrPort{})
 		return
 	}
-	err := c.pool.Submit(func() {
+	err := c.start(func() {
 		reply, err := c.peerClient.StepAside(c.ctx, peer, query)
 		if err != nil {
 			c.edge.log.Warn("overloaded; staying ready because the request to step aside failed", "peer", peer.String(), "error", err.Error())
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -49,7 +49,7 @@
 		From:    c.edge.settings.Control,
 		Reads:   []peerapi.Read{{Kind: platform.KindConfig, NewerConfig: true, ConfigVersion: version}},
 	}
-	err := c.pool.Submit(func() {
+	err := c.start(func() {
 		reply, err := c.peerClient.Read(c.ctx, peer, query)
 		if err != nil || len(reply.Answers) != 1 {
 			c.edge.log.Info("no answer about a newer configuration", "peer", peer.String(), "config", version)
