Let the soak restore the store from a backup

Each run restores the store after one fault in eight on average, from a backup of the run's start or of the restore before; operator and targets write again 200 ms later. The sequence of the other faults of a seed stays as it was.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -30,9 +30,9 @@
 	chooser     *peers.Chooser
 	pool        *ants.Pool
 	// calls counts the calls that run in the pool.
-	calls       sync.WaitGroup
-	directory   *catalog.Directory
-	followers   []*resource
+	calls     sync.WaitGroup
+	directory *catalog.Directory
+	followers []*resource
 	// config and targets are the followers of the two kinds.
 	config  *follow.Follower
 	targets *follow.Follower
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,6 +27,10 @@
 	length    = flag.Duration("soak.length", 5*time.Second, "time during which faults are injected, per seed")
 )
 
+// restoreEvery is the mean number of faults between two restores of the store. A backup
+// is from the start of the run or from the restore before.
+const restoreEvery = 8
+
 // guavaedgePath is the path of the guavaedge binary under test.
 var guavaedgePath string
 
@@ -97,6 +101,8 @@
 // clients go on for settleTime.
 func (b *testbed) run(length time.Duration) {
 	random := rand.New(rand.NewPCG(b.seed, 0))
+	restoreRandom := rand.New(rand.NewPCG(b.seed, 1))
+	b.backup = b.store.Backup()
 	done := make(chan struct{})
 	for range clients {
 		b.running.Add(1)
@@ -106,6 +112,10 @@
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(50+random.IntN(250)) * time.Millisecond)
 		b.injectFault(random)
+		if restoreRandom.IntN(restoreEvery) == 0 {
+			b.restoreStore()
+			b.backup = b.store.Backup()
+		}
 	}
 	b.clearFaults()
 	time.Sleep(settleTime)
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -34,6 +34,9 @@
 	// settleTime is how long recovery from the last fault may take: one poll, one
 	// health check and one process start.
 	settleTime = 2500 * time.Millisecond
+	// rewriteDelay is how long after the store was restored from a backup operator and
+	// targets write again what they had written.
+	rewriteDelay = 200 * time.Millisecond
 	// changeBound is the value of bounds.change and bounds.drain in the hosts' settings.
 	changeBound = time.Second
 )
@@ -48,6 +51,7 @@
 	network *platformtest.Loopback
 	store   *platformtest.Store
 	server  *httptest.Server
+	backup  platformtest.Backup
 	hosts   []*host
 	running sync.WaitGroup
 	served  atomic.Int64
@@ -314,6 +318,29 @@
 	}()
 }
 
+// restoreStore restores the store from a backup. Operator and targets write again a
+// little later.
+func (b *testbed) restoreStore() {
+	b.faults["store restored"]++
+	b.markDisturbed()
+	b.store.Restore(b.backup)
+	time.Sleep(rewriteDelay)
+	b.store.PutConfig(b.configVersion, "taller", service)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.targets {
+		switch {
+		case t.crashed:
+			b.store.Delete("servers", t.Name)
+		case t.leaving:
+			b.store.Put("servers", t.Name, t.Entry("taller", "a", "draining"))
+		default:
+			b.store.Put("servers", t.Name, t.Entry("taller", "a", "ready"))
+		}
+	}
+	b.lastDisturbance = time.Now()
+}
+
 // crashTarget crashes a random target and deletes its entry in the store, unless only
 // two targets take new flows.
 func (b *testbed) crashTarget(random *rand.Rand) {
