List the targets as they are when a host starts

Cause: the first list could be answered from outdated data. Until the poll that follows was answered, and for as long as the store refused it, a target that had left was in use again. Change: the first list is a current one; the setting and the call's parameter go. The test that asked for an outdated first list is replaced by one that asks for the poll from the oldest page. Result: TestTargetThatLeftIsNotUsedAfterAHostStarts fails on the code before, passes now.

--- a/internal/coordination/follow/answer.go
+++ b/internal/coordination/follow/answer.go
@@ -94,7 +94,7 @@
 // applyPage processes a page of a source whose data is of the given age.
 func (f *Follower) applyPage(now time.Duration, call objects.Call, page objects.Page, from Source, age time.Duration) Change {
 	if call.Verb == objects.VerbList {
-		return f.applyListPage(now, page, from == SourceStore && !call.Stale)
+		return f.applyListPage(now, page, from)
 	}
 	f.revision = max(f.revision, page.Revision)
 	f.dueAt = now
@@ -107,9 +107,9 @@
 	return Change{Objects: page.Objects, Complete: complete}
 }
 
-// applyListPage processes a page of a list. fresh is set if the page holds the objects as
-// they were when it was requested.
-func (f *Follower) applyListPage(now time.Duration, page objects.Page, fresh bool) Change {
+// applyListPage processes a page of a list. Only the store's page holds the objects as they
+// were when it was requested.
+func (f *Follower) applyListPage(now time.Duration, page objects.Page, from Source) Change {
 	change := Change{Objects: page.Objects}
 	if f.restored {
 		f.restoredObjects = append(f.restoredObjects, page.Objects...)
@@ -129,7 +129,7 @@
 		return change
 	}
 	change.AllKeys = f.listedKeys
-	change.Complete = firstPage && fresh
+	change.Complete = firstPage && from == SourceStore
 	f.listedKeys = nil
 	if f.restored {
 		change.Objects, change.Restored = f.restoredObjects, true
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -17,9 +17,6 @@
 type Settings struct {
 	// Kind is the kind of objects to read.
 	Kind string
-	// AllowStaleFirstList lets the store answer the first list from old data, which costs
-	// it less. A poll follows at once and returns the changes that the list lacks.
-	AllowStaleFirstList bool
 	// Interval is the time from the store's answer to the next poll while there is no
 	// peer.
 	Interval time.Duration
@@ -192,7 +189,5 @@
 	if f.listedKeys == nil {
 		f.startList()
 	}
-	// A later list must not be older than the data known already.
-	allowStale := f.settings.AllowStaleFirstList && !f.listed
-	return objects.Call{Verb: objects.VerbList, Key: f.settings.Kind, From: f.listFrom, Stale: allowStale, Era: f.era}
+	return objects.Call{Verb: objects.VerbList, Key: f.settings.Kind, From: f.listFrom, Era: f.era}
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -76,18 +76,13 @@
 	require.Equal(t, "targets/t1", dueCall(t, f, time.Second).From)
 }
 
-// A stale list may be older than the history that the store keeps; the poll that
-// follows then gets ResultExpired. Later lists must not be older than the known data.
-func TestOnlyFirstListMayBeStaleAndIsPolledAtOnce(t *testing.T) {
-	settings := testSettings
-	settings.AllowStaleFirstList = true
-	f := New(settings, half)
-	call := dueCall(t, f, 0)
-	require.True(t, call.Stale)
-	f.HandleStoreOutcome(0, call, page(9, true, "t1"))
+// A page may be older than the one before it.
+func TestPollContinuesFromTheOldestPageOfAList(t *testing.T) {
+	f := New(testSettings, half)
+	f.HandleStoreOutcome(0, dueCall(t, f, 0), page(9, true, "t1"))
 	f.HandleStoreOutcome(0, dueCall(t, f, 0), page(7, false, "t2"))
-	call = dueCall(t, f, 0)
-	require.Equal(t, objects.Call{Verb: objects.VerbWatch, Key: "targets", After: 7}, call, "from the revision of the oldest page, at once")
+	call := dueCall(t, f, 0)
+	require.Equal(t, objects.Call{Verb: objects.VerbWatch, Key: "targets", After: 7}, call, "at once")
 	f.HandleStoreOutcome(0, call, objects.Outcome{Result: objects.ResultExpired})
 	call = dueCall(t, f, 0)
 	require.Equal(t, objects.Call{Verb: objects.VerbList, Key: "targets"}, call)
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -93,11 +93,8 @@
 		}),
 	}
 	c.source.Store(&readSource{})
-	// The first configuration must be current before anything is served by it. The many
-	// targets may first be listed from stale data, which spares the store when all hosts
-	// start at once.
 	c.config = c.follow(follow.Settings{Kind: platform.KindConfig}, e.settings.ChangeBound, &e.configReadAt, c.applyConfig)
-	c.targets = c.follow(follow.Settings{Kind: platform.KindTargets, AllowStaleFirstList: true}, e.settings.DrainBound, &e.targetsReadAt, c.applyTargets)
+	c.targets = c.follow(follow.Settings{Kind: platform.KindTargets}, e.settings.DrainBound, &e.targetsReadAt, c.applyTargets)
 	return c, nil
 }
 
--- a/internal/state/objects/objects.go
+++ b/internal/state/objects/objects.go
@@ -64,8 +64,6 @@
 	// From is the key after which VerbList continues, for stores that return lists in
 	// pages.
 	From string
-	// Stale allows a read to return outdated data, for stores that support it.
-	Stale bool
 	// Era is the era in which After was read. Other hosts need it, the store does not.
 	Era Era
 }
