Take only a later start time for a restart of a target

Cause: any other start time in a target's entry counted as a restart, an entry that had lost it or one from the store's backup included, and the idempotent requests that the target was working on were reset and started again elsewhere. Result: TestOldOrIncompleteEntryIsNoRestart fails with the former comparison, passes now.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -46,7 +46,7 @@
 	for _, pool := range view.Pools {
 		for _, target := range pool.Offered {
 			r := e.targets.getOrCreate(target, now)
-			if r.startedAt != target.StartMillis {
+			if r.restarted(target) {
 				e.handleRestart(now, r, target)
 			}
 		}
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -345,6 +345,24 @@
 	require.Equal(t, ReasonTargetRestarted, resets[0].Reason)
 }
 
+// An entry that lost its start time, got it back, or is from before the target's start must
+// not end the requests that the target works on.
+func TestOldOrIncompleteEntryIsNoRestart(t *testing.T) {
+	f := newFixture(t, orderTarget(1, "a"), orderTarget(2, "a"))
+	c := f.establishAt(feedAddress, "t1")
+	c.sendRequest()
+	for _, start := range []int64{5, 0, 5, 3} {
+		entry := orderTarget(1, "a")
+		entry.StartMillis = start
+		f.directory.Put(0, entry)
+		if start == 5 {
+			f.engine.targets.byID[entry.ID].startedAt = start
+		}
+		f.publish()
+		require.Empty(t, f.advance(0), "start time %d", start)
+	}
+}
+
 func TestExpiredFlowsLeaveNoLoadCounts(t *testing.T) {
 	f := newFixture(t, orderTarget(1, "a"), orderTarget(2, "b"))
 	for range 50 {
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -80,6 +80,12 @@
 	return Evidence{Target: r.name, Age: now - r.lastFailure, Waiting: r.waiting, Open: r.openFlows}
 }
 
+// restarted reports whether the target has started again since it was recorded. An entry
+// without a start time says nothing, and one of an earlier start is an old one.
+func (r *targetRecord) restarted(target *catalog.Target) bool {
+	return r.startedAt != 0 && target.StartMillis > r.startedAt
+}
+
 // avoided reports whether new flows should go to other targets: this one is down, or is
 // being checked after a missed answer.
 func (r *targetRecord) avoided() bool { return r.down || r.checking && r.missed > 0 }
