--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -155,18 +155,6 @@
 	return f.pollCall(), source, true
 }
 
-// PiggybackPoll returns a poll that is not due yet but can go to a peer in the same
-// request as another kind's poll: a request for two kinds costs little more than for
-// one.
-func (f *Follower) PiggybackPoll(now time.Duration) (objects.Call, bool) {
-	if f.inFlight || !f.peerAvailable || f.nextSource != SourcePeer || f.listedKeys != nil || !f.listed {
-		return objects.Call{}, false
-	}
-	f.inFlight = true
-	f.callStart = now
-	return f.pollCall(), true
-}
-
 func (f *Follower) pollCall() objects.Call {
 	return objects.Call{Verb: objects.VerbWatch, Key: f.settings.Kind, After: f.revision, Era: f.era}
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -299,20 +299,6 @@
 	require.Equal(t, SourceStore, dueSource(t, f, again))
 }
 
-func TestPiggybackPollBeforeDue(t *testing.T) {
-	f := newFollowerWithPeer(t, 0)
-	call, ok := f.PiggybackPoll(800 * time.Millisecond)
-	require.True(t, ok)
-	require.Equal(t, expectedPoll, call)
-	_, ok = f.PiggybackPoll(800 * time.Millisecond)
-	require.False(t, ok, "only one call is in flight")
-	f.HandlePeerOutcome(810*time.Millisecond, call, page(9, false), 0)
-	require.Equal(t, 800*time.Millisecond, f.CompleteAsOf())
-	f.SetPeerStatus(900*time.Millisecond, true, true)
-	_, ok = f.PiggybackPoll(2 * time.Second)
-	require.False(t, ok, "a host that others poll reads the store")
-}
-
 // A change is known within the bound even if the peer's data just misses it, the peer
 // then stops answering and the store's answer is lost.
 func TestChangeKnownWithinBoundThroughPeer(t *testing.T) {
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -139,30 +139,17 @@
 		peer, found := c.chooser.Pick(now, f.follower.Failing())
 		f.follower.SetPeerStatus(now, found, serving)
 		call, source, due := f.follower.Next(now)
+		request := readRequest{resource: f, call: call}
 		switch {
 		case !due:
 		case source == follow.SourcePeer:
-			requests := c.batchDuePolls(now, readRequest{resource: f, call: call})
-			c.submit(now, requests, func() { c.readFromPeer(peer, requests) })
+			c.submit(now, request, func() { c.readFromPeer(peer, request) })
 		default:
-			request := readRequest{resource: f, call: call}
-			c.submit(now, []readRequest{request}, func() { c.readFromStore(request) })
+			c.submit(now, request, func() { c.readFromStore(request) })
 		}
 	}
 }
 
-// batchDuePolls returns the request that is due together with polls of other kinds that
-// can go to the same host.
-func (c *control) batchDuePolls(now time.Duration, due readRequest) []readRequest {
-	requests := []readRequest{due}
-	for _, f := range c.followers {
-		if call, ok := f.follower.PiggybackPoll(now); ok {
-			requests = append(requests, readRequest{resource: f, call: call})
-		}
-	}
-	return requests
-}
-
 // start runs a call in the pool; close waits for it.
 func (c *control) start(call func()) error {
 	c.calls.Add(1)
@@ -176,17 +163,15 @@
 	return err
 }
 
-// submit runs a call in the pool. If the pool rejects it, the followers see it as
-// refused by the store.
-func (c *control) submit(now time.Duration, requests []readRequest, call func()) {
+// submit runs a call in the pool. If the pool rejects it, the follower sees it as refused
+// by the store.
+func (c *control) submit(now time.Duration, request readRequest, call func()) {
 	err := c.start(call)
 	if err == nil {
 		return
 	}
-	c.edge.log.Error("read not started; treating it as refused by the store", "kind", requests[0].resource.kind, "error", err.Error())
-	for _, request := range requests {
-		request.resource.follower.HandleStoreOutcome(now, request.call, objects.Outcome{Result: objects.ResultRefused})
-	}
+	c.edge.log.Error("read not started; treating it as refused by the store", "kind", request.resource.kind, "error", err.Error())
+	request.resource.follower.HandleStoreOutcome(now, request.call, objects.Outcome{Result: objects.ResultRefused})
 }
 
 // readFromStore makes a call to the store and queues its result.
--- a/internal/edge/peerclient.go
+++ b/internal/edge/peerclient.go
@@ -9,25 +9,19 @@
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
-// readFromPeer sends all requests to another host in one query and queues a result
-// for each.
-func (c *control) readFromPeer(peer netip.AddrPort, requests []readRequest) {
-	query := peerapi.Query{Version: peerapi.Version, From: c.edge.settings.Control}
-	for _, request := range requests {
-		query.Reads = append(query.Reads, peerRead(request))
-	}
-	requestedAt := bootTime()
+// readFromPeer sends a request to another host and queues its result.
+func (c *control) readFromPeer(peer netip.AddrPort, request readRequest) {
+	query := peerapi.Query{Version: peerapi.Version, From: c.edge.settings.Control, Reads: []peerapi.Read{peerRead(request)}}
+	result := readResult{readRequest: request, requestedAt: bootTime(), peer: peer}
 	began := time.Now()
 	reply, err := c.peerClient.Read(c.ctx, peer, query)
 	c.edge.metrics.observePeerCall(err, time.Since(began))
-	for i, request := range requests {
-		result := readResult{readRequest: request, requestedAt: requestedAt, peer: peer, redirect: reply.Instead, err: err}
-		if len(reply.Answers) == len(requests) {
-			result.reply = reply.Answers[i]
-		}
-		result.outcome = peerOutcome(result)
-		c.results <- result
+	result.redirect, result.err = reply.Instead, err
+	if len(reply.Answers) == 1 {
+		result.reply = reply.Answers[0]
 	}
+	result.outcome = peerOutcome(result)
+	c.results <- result
 }
 
 // peerRead converts a request to the form in which other hosts receive it.
