Tell other hosts of a target that is down

Cause: each host found out for itself about each silent target, by a request of its own that its client sent again after 200 ms. On 89 hosts in front of 150 targets each host has few requests for each target, so that it took seconds until all knew. Change: a host that finds a target down, not in an overload, reports it to the host that it reads from and to those that read from it, who pass it on once (package reports). A host that gets a report checks the target itself, four at a time, and prefers others for 1 s; a report alone resets nothing.

--- a/internal/coordination/steer/checks.go
+++ b/internal/coordination/steer/checks.go
@@ -12,6 +12,7 @@
 		return
 	}
 	r.checking = true
+	t.runningChecks++
 	check := Check{Target: r.id, Address: r.address, HealthPath: r.healthPath, Witnesses: t.witnesses(r)}
 	if r.down {
 		check.ExpectedName = r.name
@@ -47,6 +48,8 @@
 // isolated.
 func (t *targetTable) recordCheck(now time.Duration, r *targetRecord, outcome CheckOutcome) (mayBeDown bool) {
 	r.checking = false
+	t.runningChecks--
+	defer t.checkReported(now)
 	if outcome == CheckAllTimedOut && !t.isolated(now) {
 		r.nextCheck = now
 		t.requestCheck(now, r)
@@ -56,9 +59,10 @@
 	silence := now - r.lastAnswer
 	if outcome == CheckPassed {
 		t.recordAnswer(now, r)
+		r.avoidUntil = 0
 		if r.down {
 			t.markUp(r)
-			t.healthChanges = append(t.healthChanges, HealthChange{Target: r.name, Domain: r.domain, Silence: silence})
+			t.healthChanges = append(t.healthChanges, HealthChange{ID: r.id, Target: r.name, Domain: r.domain, Silence: silence})
 		}
 		return false
 	}
@@ -69,7 +73,10 @@
 	}
 	r.down = true
 	t.down = append(t.down, r)
-	t.healthChanges = append(t.healthChanges, HealthChange{Target: r.name, Domain: r.domain, Down: true, Missed: r.missed, Silence: silence})
+	t.healthChanges = append(t.healthChanges, HealthChange{
+		ID: r.id, Target: r.name, Domain: r.domain, Down: true, Missed: r.missed, Silence: silence,
+		Report: !t.totalLoad.possiblyOverloaded(),
+	})
 	t.checkDomain(now, r)
 	return true
 }
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -193,7 +193,7 @@
 	first := c.sendSYN().Target
 	c.confirmOpen(f.advance(initialTimeoutLocal)[0].Target)
 	require.Equal(t, 1, f.runChecks(noneAlive))
-	require.Equal(t, []HealthChange{{Target: first.Name, Domain: "a", Down: true, Missed: 1, Silence: f.now - time.Second}}, f.engine.DrainHealthChanges())
+	require.Equal(t, []HealthChange{{ID: first.ID, Target: first.Name, Domain: "a", Down: true, Missed: 1, Silence: f.now - time.Second}}, f.engine.DrainHealthChanges())
 	for range 50 {
 		require.NotEqual(t, first.ID, f.newClient(feedAddress).establish().ID)
 	}
--- a/internal/coordination/steer/selection.go
+++ b/internal/coordination/steer/selection.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		c := candidate{target: target, record: r, cost: e.cost(now, target, r)}
-		if r.avoided() {
+		if r.avoided(now) {
 			fallback = fallback.cheaper(c, e.random)
 		} else {
 			best = best.cheaper(c, e.random)
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -37,6 +37,9 @@
 	// partitionSuspected is set if another target of the same remote failure domain is
 	// down.
 	partitionSuspected bool
+	// avoidUntil is until when new flows go to other targets since another host reported
+	// this one as down.
+	avoidUntil time.Duration
 	// checking is set while a check of the target runs; nextCheck is when the next one may
 	// start.
 	checking  bool
@@ -86,9 +89,11 @@
 	return r.startedAt != 0 && target.StartMillis > r.startedAt
 }
 
-// avoided reports whether new flows should go to other targets: this one is down, or is
-// being checked after a missed answer.
-func (r *targetRecord) avoided() bool { return r.down || r.checking && r.missed > 0 }
+// avoided reports whether new flows should go to other targets: this one is down, is
+// being checked after a missed answer, or was reported by another host.
+func (r *targetRecord) avoided(now time.Duration) bool {
+	return r.down || r.checking && r.missed > 0 || now < r.avoidUntil
+}
 
 // targetTable holds the records of the targets.
 type targetTable struct {
@@ -98,6 +103,10 @@
 	// DrainHealthChanges.
 	checks        []Check
 	healthChanges []HealthChange
+	// runningChecks is the number of checks without a result. reported are the targets to
+	// check because other hosts found them down, the earliest report first.
+	runningChecks int
+	reported      []*targetRecord
 	// down are the targets whose last check failed.
 	down      []*targetRecord
 	totalLoad loadTracker
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -115,6 +115,7 @@
 
 // HealthChange is a target that went down or came back up.
 type HealthChange struct {
+	ID     catalog.TargetID
 	Target string
 	Domain state.DomainID
 	// Down reports whether the target stopped answering; false means that it answers
@@ -124,6 +125,9 @@
 	Missed int
 	// Silence is the time from the target's last answer to the change.
 	Silence time.Duration
+	// Report is set if other hosts should be told: the target is down and the targets are
+	// not overloaded, in which case a healthy one may accept no connection.
+	Report bool
 }
 
 // Check is a request to test whether a target accepts connections. A SYN or data
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -27,6 +27,7 @@
 	storeClient *store.Client
 	peerServer  *peerServer
 	peerClient  *peerlink.Client
+	reporter    *reporter
 	chooser     *peers.Chooser
 	pool        *ants.Pool
 	// calls counts the calls that run in the pool.
@@ -70,6 +71,11 @@
 	if err != nil {
 		return nil, err
 	}
+	reporter, err := newReporter(e)
+	if err != nil {
+		server.close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	bound := min(e.settings.ChangeBound, e.settings.DrainBound)
 	c := &control{
@@ -79,6 +85,7 @@
 		peerClient:           peerlink.NewClient(share(bound, peerTimeoutShare)),
 		chooser:              peers.NewChooser(e.settings.Control, e.settings.Seeds, rand.Float64),
 		pool:                 pool,
+		reporter:             reporter,
 		results:              make(chan readResult, storeCalls),
 		newerConfigs:         make(chan newerConfig, newerConfigCalls),
 		targetsReadRequested: make(chan struct{}, 1),
@@ -126,6 +133,10 @@
 			c.applyNewerConfig(c.edge.now(), newer)
 		case <-c.targetsReadRequested:
 			c.targets.PollSoon(c.edge.now())
+		case target := <-c.reporter.own:
+			c.reporter.passOnOwn(c.edge.now(), target, c.activePeer, c.peerServer.pollerHosts())
+		case report := <-c.reporter.received:
+			c.reporter.handleReceived(c.edge.now(), report, c.activePeer, c.peerServer.pollerHosts())
 		case <-c.firstPeerQuery:
 		case <-c.overloaded:
 			c.requestStepAside(c.edge.now())
@@ -245,6 +256,7 @@
 	c.cancel()
 	// Not ReleaseTimeout, which waits for the pool's own goroutines in a busy loop.
 	c.pool.Release()
+	c.reporter.pool.Release()
 	if !waitFor(&c.calls, callsTimeout) {
 		c.edge.log.Warn("calls to the store or other hosts still running at shutdown")
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,8 @@
 	stepsAside *metrics.Counter
 	// restores counts, for each kind of objects, the restores of the store from a backup.
 	restores *metrics.Counter
+	// reportsAccepted counts the targets that other hosts reported as down.
+	reportsAccepted *metrics.Counter
 	// handshakeTime is the time from a SYN to the client's next packet, decisionTime the
 	// time taken to decide about a SYN, both in seconds.
 	handshakeTime *metrics.PrometheusHistogram
@@ -50,15 +52,16 @@
 func newHostMetrics() *hostMetrics {
 	set := metrics.NewSet()
 	m := &hostMetrics{
-		set:           set,
-		verdicts:      make(map[steer.Reason]*metrics.Counter),
-		badPackets:    set.NewCounter("guava_bad_packets_total"),
-		checks:        set.NewCounter("guava_target_checks_total"),
-		stepsAside:    set.NewCounter("guava_steps_aside_total"),
-		restores:      set.NewCounter("guava_store_restores_total"),
-		sendFailed:    set.NewCounter("guava_datagrams_not_sent_total"),
-		handshakeTime: set.NewPrometheusHistogramExt("guava_opening_seconds", handshakeBuckets),
-		decisionTime:  set.NewPrometheusHistogramExt("guava_decision_seconds", decisionBuckets),
+		set:             set,
+		verdicts:        make(map[steer.Reason]*metrics.Counter),
+		badPackets:      set.NewCounter("guava_bad_packets_total"),
+		checks:          set.NewCounter("guava_target_checks_total"),
+		stepsAside:      set.NewCounter("guava_steps_aside_total"),
+		restores:        set.NewCounter("guava_store_restores_total"),
+		reportsAccepted: set.NewCounter("guava_target_reports_total"),
+		sendFailed:      set.NewCounter("guava_datagrams_not_sent_total"),
+		handshakeTime:   set.NewPrometheusHistogramExt("guava_opening_seconds", handshakeBuckets),
+		decisionTime:    set.NewPrometheusHistogramExt("guava_decision_seconds", decisionBuckets),
 	}
 	for _, reason := range countedReasons {
 		m.verdicts[reason] = set.NewCounter(`guava_verdicts_total{reason="` + string(reason) + `"}`)
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -110,3 +110,22 @@
 	second.eventually(func() bool { return second.logs.contains("config=3") })
 	require.Less(t, time.Since(began), second.settings().ChangeBound)
 }
+
+// A target ends. The first host notices by a SYN that stays unanswered; the second one, which
+// only has idle flows there, learns of it from the first.
+func TestDownTargetIsReportedToOtherHosts(t *testing.T) {
+	first, second, _ := startTwoHosts(t)
+	ended := first.target("i-2a00000002", "a")
+	// Both hosts learn their usual load, without which a silent target may be a busy one.
+	for began := time.Now(); time.Since(began) < 7*time.Second; time.Sleep(100 * time.Millisecond) {
+		first.request(first.open())
+		second.request(second.open())
+	}
+	ended.Stop()
+	first.eventually(func() bool {
+		first.request(first.open())
+		return first.logs.contains("target does not answer")
+	})
+	second.eventually(func() bool { return second.logs.contains("target does not answer") })
+	require.Contains(t, second.scrapeMetrics(), "guava_target_reports_total 1")
+}
--- a/internal/edge/peerserver.go
+++ b/internal/edge/peerserver.go
@@ -195,6 +195,9 @@
 	return peerapi.StepAsideReply{For: overload.AsideDuration}
 }
 
+// Report implements peerlink.Handler.
+func (r *peerServer) Report(report peerapi.Report) { r.edge.control.reporter.receive(report) }
+
 // serving reports whether other hosts polled this one recently.
 func (r *peerServer) serving(now time.Duration) bool {
 	r.mu.Lock()
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -102,6 +102,7 @@
 		err := t.reader.Read(t.handlePacket)
 		t.now = t.edge.now()
 		t.handleCheckResults()
+		t.drainAccepted()
 		t.answerInspections()
 		switch {
 		case err == nil && settling:
@@ -176,8 +177,10 @@
 	}
 }
 
-// hasQueuedRequests reports whether check results or inspections are queued.
-func (t *traffic) hasQueuedRequests() bool { return len(t.checker.results)+len(t.inspections) > 0 }
+// hasQueuedRequests reports whether check results, inspections or reports are queued.
+func (t *traffic) hasQueuedRequests() bool {
+	return len(t.checker.results)+len(t.inspections)+len(t.edge.control.reporter.accepted) > 0
+}
 
 // handleCheckResults passes the queued check results to the engine.
 func (t *traffic) handleCheckResults() {
@@ -289,6 +292,9 @@
 	}
 	for _, change := range t.engine.DrainHealthChanges() {
 		t.edge.logHealthChange(change)
+		if change.Report {
+			t.edge.control.reporter.reportDown(change.ID)
+		}
 	}
 	for _, change := range t.engine.DrainOverloadChanges() {
 		t.edge.logOverloadChange(change)
--- a/internal/protocol/peerapi/peerapi.go
+++ b/internal/protocol/peerapi/peerapi.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
@@ -18,6 +19,7 @@
 	Service         = "Reads"
 	MethodRead      = Service + ".Read"
 	MethodStepAside = Service + ".StepAside"
+	MethodReport    = Service + ".Report"
 )
 
 // Query is the argument of MethodRead.
@@ -75,6 +77,17 @@
 	Doubt time.Duration
 }
 
+// Report tells that targets were found down.
+type Report struct {
+	Version int
+	// From is the control address of the host that sends or passes on the report.
+	From    netip.AddrPort
+	Targets []catalog.TargetID
+}
+
+// ReportReply answers a Report.
+type ReportReply struct{}
+
 // StepAsideQuery requests permission for an overloaded host to step aside, which means
 // to report not ready for a while.
 type StepAsideQuery struct {
--- a/internal/transport/peerlink/client.go
+++ b/internal/transport/peerlink/client.go
@@ -53,6 +53,11 @@
 	return reply, err
 }
 
+// Report tells a host that targets were found down.
+func (c *Client) Report(ctx context.Context, host netip.AddrPort, report peerapi.Report) error {
+	return c.call(ctx, host, peerapi.MethodReport, report, new(peerapi.ReportReply))
+}
+
 // call makes one call to a host. A failed call closes the connection, since the host may
 // no longer respond on it.
 func (c *Client) call(ctx context.Context, host netip.AddrPort, method string, query, reply any) error {
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -29,6 +29,8 @@
 	return reply
 }
 
+func (echoHandler) Report(peerapi.Report) {}
+
 func (echoHandler) StepAside(peerapi.StepAsideQuery) peerapi.StepAsideReply {
 	return peerapi.StepAsideReply{For: time.Second}
 }
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -18,6 +18,7 @@
 type Handler interface {
 	Read(peerapi.Query) peerapi.Reply
 	StepAside(peerapi.StepAsideQuery) peerapi.StepAsideReply
+	Report(peerapi.Report)
 }
 
 // readService is the net/rpc service peerapi.Service. It sends an empty reply to a call of
@@ -42,6 +43,14 @@
 	return nil
 }
 
+// Report takes a report about targets that are down.
+func (r *readService) Report(report peerapi.Report, _ *peerapi.ReportReply) error {
+	if report.Version == peerapi.Version {
+		r.handler.Report(report)
+	}
+	return nil
+}
+
 // Server serves the calls of other hosts.
 type Server struct {
 	server   *netrpc.Server
