--- /dev/null
+++ b/internal/edge/send.go
@@ -0,0 +1,37 @@
+package edge
+
+import (
+	"net/netip"
+
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
+	"github.com/guavawharf/guavawharf/platform"
+)
+
+// execute sends the packets that a verdict calls for. datagram holds the packet that was
+// decided about, with space for its label. A SYN is sent from a copy, since it may be
+// sent again later.
+func (t *traffic) execute(v steer.Verdict, datagram []byte) {
+	switch {
+	case v.Action == steer.ActionForward && v.SYN:
+		t.sendSYN(v)
+	case v.Action == steer.ActionForward:
+		platform.PutLabel(datagram, v.Target.ID)
+		t.writer.Add(datagram, v.Target.Address)
+	case v.Action == steer.ActionReset:
+		t.sendReset(v)
+	}
+}
+
+func (t *traffic) sendSYN(v steer.Verdict) {
+	datagram := make([]byte, platform.LabelSize, platform.LabelSize+len(v.Raw))
+	platform.PutLabel(datagram, v.Target.ID)
+	datagram = append(datagram, v.Raw...)
+	platform.PutCookie(datagram[platform.LabelSize:], v.Target.ID.Cookie())
+	t.writer.Add(datagram, v.Target.Address)
+}
+
+func (t *traffic) sendReset(v steer.Verdict) {
+	datagram := platform.AppendReset(nil, v.Client, v.Service, v.Seq)
+	to := netip.AddrPortFrom(v.Client.Addr(), t.edge.settings.Packets.Port())
+	t.writer.Add(datagram, to)
+}
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -233,35 +232,6 @@
 	return false
 }
 
-// execute sends the packets that a verdict calls for. datagram holds the packet that was
-// decided about, with space for its label. A SYN is sent from a copy, since it may be
-// sent again later.
-func (t *traffic) execute(v steer.Verdict, datagram []byte) {
-	switch {
-	case v.Action == steer.ActionForward && v.SYN:
-		t.sendSYN(v)
-	case v.Action == steer.ActionForward:
-		platform.PutLabel(datagram, v.Target.ID)
-		t.writer.Add(datagram, v.Target.Address)
-	case v.Action == steer.ActionReset:
-		t.sendReset(v)
-	}
-}
-
-func (t *traffic) sendSYN(v steer.Verdict) {
-	datagram := make([]byte, platform.LabelSize, platform.LabelSize+len(v.Raw))
-	platform.PutLabel(datagram, v.Target.ID)
-	datagram = append(datagram, v.Raw...)
-	platform.PutCookie(datagram[platform.LabelSize:], v.Target.ID.Cookie())
-	t.writer.Add(datagram, v.Target.Address)
-}
-
-func (t *traffic) sendReset(v steer.Verdict) {
-	datagram := platform.AppendReset(nil, v.Client, v.Service, v.Seq)
-	to := netip.AddrPortFrom(v.Client.Addr(), t.edge.settings.Packets.Port())
-	t.writer.Add(datagram, to)
-}
-
 // handleDeadlines executes the verdicts that have become due. It is called only after all
 // packets that had arrived were read.
 func (t *traffic) handleDeadlines() {
