Take signals from the start of a process on

Cause: guavaedge took SIGHUP only once it had opened its sockets, and guavad never did; a signal before that ends a Go program. A settings change in the first milliseconds ended a starting host, and a SIGHUP any guavad, without draining. Change: both take SIGHUP and SIGTERM first; guavad logs that it reloads nothing.

--- a/cmd/guavad/main.go
+++ b/cmd/guavad/main.go
@@ -39,6 +39,7 @@
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: checked.LogLevel}))
 	leave := process.ShutdownSignal()
+	go logHangups(log, process.HangupSignal())
 	d, err := daemon.New(checked, log)
 	if err != nil {
 		log.Error(daemon.LogStartFailed, "error", err.Error(), "code", errorCode(err))
@@ -48,6 +49,13 @@
 	return exitOK
 }
 
+// logHangups tells at each SIGHUP that nothing is reloaded.
+func logHangups(log *slog.Logger, hangups <-chan os.Signal) {
+	for range hangups {
+		log.Warn("settings not reloaded; they take effect at the next start")
+	}
+}
+
 // errorCode returns the stable code of an error, or nil if it has none.
 func errorCode(err error) any {
 	if coded, ok := oops.AsOops(err); ok {
--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/edge"
@@ -39,6 +37,9 @@
 }
 
 func run(options process.Options) int {
+	// First, since a signal ends the process otherwise, also while it starts.
+	hangups := process.HangupSignal()
+	leave := process.ShutdownSignal()
 	settings, ok := readSettings(options.SettingsPath)
 	if !ok {
 		return exitSettings
@@ -60,8 +61,8 @@
 		log.Error("start failed", "error", err.Error())
 		return exitFailed
 	}
-	go watchSettings(options.SettingsPath, settings, level, log)
-	host.Run(process.ShutdownSignal())
+	go watchSettings(options.SettingsPath, settings, level, log, hangups)
+	host.Run(leave)
 	log.Info("stopped")
 	return exitOK
 }
@@ -70,12 +71,10 @@
 	return process.ReadSettings("guavaedge", path, edgesettings.Parse)
 }
 
-// watchSettings reloads the settings at each SIGHUP and whenever the file's
+// watchSettings reloads the settings at each signal of hangups and whenever the file's
 // modification time changes. A new log level takes effect at once; for any other
 // change it only logs that a restart is needed.
-func watchSettings(path string, running edgesettings.Settings, level *slog.LevelVar, log *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func watchSettings(path string, running edgesettings.Settings, level *slog.LevelVar, log *slog.Logger, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	lastModified := modTime(path)
 	for {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -39,3 +39,11 @@
 	}()
 	return leave
 }
+
+// HangupSignal returns a channel that receives each SIGHUP; a second one may be lost while
+// one is pending. A program that does not call it ends at SIGHUP, so call it first.
+func HangupSignal() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
