--- a/internal/coordination/follow/era.go
+++ b/internal/coordination/follow/era.go
@@ -50,8 +50,9 @@
 	if era == 0 || era == f.era {
 		return true
 	}
+	// A page of the list that an earlier era has interrupted may be known, too.
+	f.restored = f.listed || f.era != 0
 	f.era = era
 	f.oldAnswers = 0
-	f.restored = f.listed
 	return call.Verb == objects.VerbList && call.From == ""
 }
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -55,6 +55,10 @@
 		case object.Deleted && present && known.Revision <= revision:
 			r.remove(object.Key, revision)
 			applied = append(applied, object)
+		case object.Deleted && !present && !r.hasNewTombstone(object.Key):
+			// It was created and deleted between two reads of this host. Another host may know
+			// it and ask this one.
+			r.remove(object.Key, revision)
 		case !object.Deleted && (!present || known.Revision < object.Revision):
 			r.objects[object.Key] = object
 			r.lastChange = max(r.lastChange, object.Revision)
@@ -99,6 +103,14 @@
 	}
 }
 
+// hasNewTombstone reports whether a deletion of the object was recorded since the newest
+// complete read.
+func (r *Replica) hasNewTombstone(key string) bool {
+	return slices.ContainsFunc(r.tombstones, func(deleted objects.Object) bool {
+		return deleted.Key == key && deleted.Revision > r.revision
+	})
+}
+
 // remove deletes an object and adds a tombstone for it. If the oldest tombstone is
 // evicted, changes since before its revision are no longer known.
 func (r *Replica) remove(key string, revision uint64) {
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -199,3 +199,19 @@
 	r.ReplaceValue("other", []byte("2"))
 	require.Equal(t, []objects.Object{{Key: "main", Revision: 3, Value: []byte("2")}}, r.List("", 0).Page.Objects)
 }
+
+// Found by the model of package follow: the host that asks knew the object from the store
+// and used it for ever.
+func TestDeletionOfAnUnknownObjectIsToldToOthers(t *testing.T) {
+	r := New()
+	r.RemoveUnlisted(map[string]bool{}, 4)
+	r.MarkComplete(1, 4, 0)
+	for range 2 {
+		require.Empty(t, r.Put([]objects.Object{{Key: "t5", Deleted: true}}, 8), "nothing changes for this host")
+	}
+	r.MarkComplete(1, 8, 0)
+	require.Equal(t, []objects.Object{{Key: "t5", Revision: 8, Deleted: true}}, r.ChangesSince(6, 0).Page.Objects)
+	r.Put([]objects.Object{{Key: "t5", Deleted: true}}, 12)
+	r.MarkComplete(1, 12, 0)
+	require.Len(t, r.ChangesSince(10, 0).Page.Objects, 1, "created and deleted again meanwhile")
+}
