--- a/internal/transport/store/http.go
+++ b/internal/transport/store/http.go
@@ -21,10 +21,10 @@
 // a late second copy of an answer would be taken for the answer to the next request, since
 // HTTP/1.1 does not number them.
 func newHTTPClient(s Settings) *http.Client {
-	dialer := &redialer{timeout: s.Timeout, dial: new(net.Dialer).DialContext}
+	dialer := &net.Dialer{Timeout: s.Timeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:        dialer.dialContext,
+			DialContext:        dialer.DialContext,
 			MaxConnsPerHost:    s.MaxConnections,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
