--- a/internal/coordination/follow/era_test.go
+++ b/internal/coordination/follow/era_test.go
@@ -104,6 +104,7 @@
 	change, unusable := f.HandlePeerOutcome(time.Second, call, inEra(1, page(120, false, "t2")), 0)
 	require.True(t, unusable)
 	require.Empty(t, change.Objects, "older truth")
+	require.EqualValues(t, 2, f.Era())
 	call, source, _ = f.Next(time.Second)
 	require.Equal(t, SourceStore, source)
 	f.HandleStoreOutcome(time.Second, call, inEra(2, page(100, false)))
