--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -89,11 +89,9 @@
 	return r.startedAt != 0 && target.StartMillis > r.startedAt
 }
 
-// avoided reports whether new flows should go to other targets: this one is down, is
-// being checked after a missed answer, or was reported by another host.
-func (r *targetRecord) avoided(now time.Duration) bool {
-	return r.down || r.checking && r.missed > 0 || now < r.avoidUntil
-}
+// avoided reports whether new flows should go to other targets: this one is down, or was
+// reported by another host.
+func (r *targetRecord) avoided(now time.Duration) bool { return r.down || now < r.avoidUntil }
 
 // targetTable holds the records of the targets.
 type targetTable struct {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -182,7 +182,7 @@
 	if change.Restored {
 		c.recordRestore(now, r, change)
 	}
-	first := follower == c.config && c.configValue == nil
+	hadConfig := c.configValue != nil
 	if follower == c.config {
 		change.Objects = c.keepNewerConfig(change.Objects)
 	}
@@ -194,7 +194,8 @@
 	if change.Complete {
 		c.peerServer.markCurrent(r.resource.kind, follower.Era(), follower.Revision(), r.requestedAt-r.reply.Age)
 	}
-	if follower == c.config && (change.Restored || first && c.configValue != nil) {
+	firstConfig := !hadConfig && c.configValue != nil
+	if firstConfig || change.Restored && follower == c.config {
 		c.requestNewerConfig(now)
 	}
 	c.source.Store(&readSource{peer: c.activePeer, storeUnavailable: c.storeUnavailable})
