--- a/internal/coordination/follow/era_test.go
+++ b/internal/coordination/follow/era_test.go
@@ -119,3 +119,18 @@
 	require.EqualValues(t, 2, f.Era())
 	require.True(t, f.HandleStoreOutcome(2*time.Second, call, inEra(3, page(95, false, "t1"))).Restored)
 }
+
+// A peer of the same era may be behind this host.
+func TestRevisionNeverDecreasesByAPeer(t *testing.T) {
+	f := newFollowerWithPeer(t, 0)
+	now, _ := f.Due()
+	require.Equal(t, SourcePeer, dueSource(t, f, now))
+	f.HandlePeerOutcome(now, expectedPoll, page(12, false), 0)
+	now, _ = f.Due()
+	require.Equal(t, SourcePeer, dueSource(t, f, now))
+	f.HandlePeerOutcome(now, expectedPoll, page(3, false), 0)
+	now, _ = f.Due()
+	call, _, due := f.Next(now)
+	require.True(t, due)
+	require.EqualValues(t, 12, call.After)
+}
