Place new flows by estimates of the targets' queues

Cause: placing saw only a host's own requests. With 120 targets at 67 hosts that shows neither a slow target nor a domain whose callers have doubled. An estimate of each target's queue from answers and rejections, told apart by their size, faded to its domain's; a random amount a decision so that hosts don't move together; equal targets take turns; new flows wait for a slot in an overload.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -25,8 +25,16 @@
 	// resets are the verdicts to return from the next HandleDeadlines.
 	resets         []Verdict
 	unknownCookies unknownCookies
+	// synQueues are the SYNs that wait for a slot, waitingSYNs is their number. admitDue is set once one of them may be
+	// admitted.
+	synQueues   synQueues
+	waitingSYNs int
+	admitDue    bool
 	// handshakeTime is the HandshakeTime of the verdict on the current packet.
 	handshakeTime time.Duration
+	// estimateFrom is the number of targets of a pool from which its new flows are placed by
+	// estimates, 0 for never.
+	estimateFrom int
 }
 
 // NewEngine returns an engine for a host in the given failure domain.
@@ -36,6 +44,7 @@
 		targets:        newTargetTable(domain),
 		flows:          make(map[state.FlowKey]*flow),
 		pending:        make(map[state.FlowKey]*flow),
+		synQueues:      make(synQueues),
 		unknownCookies: unknownCookies{seen: make(map[catalog.Cookie]time.Duration)},
 	}
 }
@@ -44,6 +53,7 @@
 func (e *Engine) SetView(now time.Duration, view *catalog.View) {
 	e.view = view
 	for _, pool := range view.Pools {
+		e.targets.limiters.of(pool.ID).UseRejections = e.usesEstimates(pool)
 		for _, target := range pool.Offered {
 			r := e.targets.getOrCreate(target, now)
 			if r.restarted(target) {
@@ -201,6 +211,7 @@
 	retransmitted := f.retransmissions > 0
 	switch f.observe(now, p) {
 	case signalAnswered:
+		e.recordFreeSlot()
 		e.targets.recordAnswer(now, f.target)
 		if wasWaiting && !retransmitted {
 			e.recordAnswerTime(now, f)
@@ -229,6 +240,7 @@
 	if previous != nil {
 		if s := previous.pending; s != nil && contains(s.tried, r) {
 			f.synSeq = s.seq
+			f.placedHere = true
 			e.recordSYNAnswer(now, s, r)
 		}
 		e.removeFlow(key)
@@ -254,6 +266,8 @@
 	if f == nil {
 		return
 	}
+	e.leaveQueue(f)
+	e.recordFreeSlot()
 	delete(e.flows, key)
 	delete(e.pending, key)
 	f.leaveLimiter()
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -38,8 +38,17 @@
 	lastTransmission time.Duration
 	// limiter counts the flow as in flight, nil if it does not.
 	limiter *shed.Limiter
+	// placedHere is set if this host placed the flow, requests the number of requests seen on
+	// it. countedNew is set while the limiter counts it as a new flow.
+	placedHere bool
+	requests   int
+	countedNew bool
 	// requestAt is when the request that the flow waits for was first seen.
 	requestAt time.Duration
+	// requestAck is the acknowledgement number before the answer to that request, answerSize
+	// the number of its bytes in the first packet that acknowledges any, 0 if it is not known.
+	requestAck uint32
+	answerSize uint32
 	// objective and priority are those of the route.
 	objective time.Duration
 	priority  int
@@ -67,8 +76,10 @@
 	// is when it was forwarded to the latest.
 	tried         []*targetRecord
 	lastAttemptAt time.Duration
-	// deadline is when the latest attempt times out.
+	// deadline is when the latest attempt times out. While queued is set, no attempt was made:
+	// the SYN waits for a slot, until the deadline.
 	deadline time.Duration
+	queued   bool
 }
 
 // seqAfter reports whether sequence number a follows b, with wrap-around.
@@ -97,7 +108,7 @@
 		return f.observeData(now, p)
 	}
 	if seqAfter(p.Ack, f.ack) {
-		f.ack = p.Ack
+		f.recordAck(p.Ack)
 		f.clearWaiting()
 		return signalAnswered
 	}
@@ -107,6 +118,7 @@
 	if f.waiting {
 		// A duplicate acknowledgement: the answer has begun to arrive, with its first
 		// packet lost or late.
+		f.answerSize = 0
 		f.clearWaiting()
 		return signalAnswered
 	}
@@ -116,17 +128,28 @@
 	return signalNone
 }
 
+// isNew reports whether this host placed the flow and its first request is not answered.
+func (f *flow) isNew() bool { return f.pending != nil || f.placedHere && f.requests == 1 }
+
+// recordAck records a new acknowledgement number.
+func (f *flow) recordAck(ack uint32) {
+	f.ack = ack
+	f.answerSize = ack - f.requestAck
+}
+
 // observeData records new data. The acknowledgement in the same packet may be old.
 func (f *flow) observeData(now time.Duration, p *Packet) flowSignal {
 	result := signalNone
 	if seqAfter(p.Ack, f.ack) {
-		f.ack = p.Ack
+		f.recordAck(p.Ack)
 		result = signalAnswered
 	}
 	f.nextSeq = p.Seq + uint32(p.Length)
 	if !f.waiting {
 		f.waiting = true
 		f.requestAt = now
+		f.requestAck = f.ack
+		f.requests++
 		f.enterLimiter(f.target.limiter)
 		f.target.waiting++
 		f.target.totalLoad.waiting++
--- a/internal/coordination/steer/selection.go
+++ b/internal/coordination/steer/selection.go
@@ -10,22 +10,30 @@
 // yet. If all of them are to be avoided it returns the cheapest anyway: a wrong
 // suspicion must not refuse flows that could be served.
 func (e *Engine) selectTarget(now time.Duration, pool *catalog.Pool, tried []*targetRecord) (*catalog.Target, *targetRecord) {
+	choose, cost := e.randomCheaper, e.cost
+	if e.usesEstimates(pool) {
+		e.drawNoise(now, pool)
+		choose, cost = leastRecentCheaper, e.estimatedCost
+	}
 	var best, fallback candidate
 	for _, target := range pool.Offered {
 		r := e.targets.getOrCreate(target, now)
 		if contains(tried, r) {
 			continue
 		}
-		c := candidate{target: target, record: r, cost: e.cost(now, target, r)}
+		c := candidate{target: target, record: r, cost: cost(now, target, r)}
 		if r.avoided(now) {
-			fallback = fallback.cheaper(c, e.random)
+			fallback = choose(fallback, c)
 		} else {
-			best = best.cheaper(c, e.random)
+			best = choose(best, c)
 		}
 	}
 	if best.target == nil {
 		best = fallback
 	}
+	if best.target != nil {
+		e.targets.markSelected(best.record)
+	}
 	return best.target, best.record
 }
 
@@ -37,9 +45,18 @@
 	ties   int
 }
 
-// cheaper returns the cheaper of two candidates. Among equal ones each has the same
+// leastRecentCheaper returns the cheaper of two candidates, and of equal ones that which
+// this host selected longer ago. Equal targets so take turns.
+func leastRecentCheaper(c, other candidate) candidate {
+	if c.target == nil || other.cost < c.cost || other.cost == c.cost && other.record.selected < c.record.selected {
+		return other
+	}
+	return c
+}
+
+// randomCheaper returns the cheaper of two candidates. Among equal ones each has the same
 // chance, so that hosts don't all select the same target.
-func (c candidate) cheaper(other candidate, random Random) candidate {
+func (e *Engine) randomCheaper(c, other candidate) candidate {
 	switch {
 	case c.target == nil || other.cost < c.cost:
 		other.ties = 1
@@ -48,7 +65,7 @@
 		return c
 	}
 	other.ties = c.ties + 1
-	if random()*float64(other.ties) < 1 {
+	if e.random()*float64(other.ties) < 1 {
 		return other
 	}
 	c.ties = other.ties
--- a/internal/coordination/steer/shedding.go
+++ b/internal/coordination/steer/shedding.go
@@ -40,25 +40,41 @@
 	f.leaveLimiter()
 	f.limiter = l
 	l.AddInFlight(1)
+	if f.isNew() {
+		f.countedNew = true
+		l.AddNewFlow(1)
+	}
 }
 
 // leaveLimiter ends that; a second call does nothing.
 func (f *flow) leaveLimiter() {
-	if f.limiter != nil {
-		f.limiter.AddInFlight(-1)
-		f.limiter = nil
+	if f.limiter == nil {
+		return
+	}
+	f.limiter.AddInFlight(-1)
+	if f.countedNew {
+		f.countedNew = false
+		f.limiter.AddNewFlow(-1)
 	}
+	f.limiter = nil
 }
 
 // recordAnswerTime records how long the target took to answer the request of a flow. The
 // time of a request that was sent more than once says nothing about the target's queue.
 func (e *Engine) recordAnswerTime(now time.Duration, f *flow) {
-	change := f.target.limiter.RecordAnswer(now, shed.Answer{
+	limiter := f.target.limiter
+	answer := shed.Answer{
 		Took:      now - f.requestAt,
 		Objective: f.objective,
 		Priority:  f.priority,
-	})
-	e.addOverloadChange(f.target.pool, change)
+		First:     f.isNew(),
+		Short:     f.answerSize > 0 && f.answerSize <= maxRejectionSize,
+		Source:    &f.target.source,
+	}
+	if queue, known := limiter.Queue(answer); known {
+		f.target.recordEstimate(now, queue, limiter.Rejects(answer))
+	}
+	e.addOverloadChange(f.target.pool, limiter.RecordAnswer(now, answer))
 }
 
 // expireOverloads ends the overloads of pools whose targets give too few answers.
--- a/internal/coordination/steer/sweep.go
+++ b/internal/coordination/steer/sweep.go
@@ -29,6 +29,8 @@
 	e.targets.evictUnused(e.knows)
 	e.expireOverloads(now)
 	e.targets.limiters.evictUnused(e.view)
+	e.targets.evictUnusedEstimates(e.view)
+	e.sweepQueues()
 	e.unknownCookies.sweep(now)
 }
 
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -28,16 +28,22 @@
 	f = newFlow(now, key, route)
 	f.pending = &pendingSYN{seq: p.Seq, pool: e.selectPool(route), startedAt: now}
 	f.pending.size = copy(f.pending.raw[:], p.Raw)
-	limiter := e.targets.limiters.of(f.pending.pool.ID)
-	if !p.Retransmitted() && !limiter.Admit(route.Priority) {
-		return refuse(f, ReasonOverloaded)
-	}
-	verdict := e.forwardSYN(now, f, ReasonPlaced)
-	if verdict.Action == ActionForward {
-		e.flows[key] = f
-		e.pending[key] = f
-		f.enterLimiter(limiter)
+	if p.Retransmitted() {
+		return e.placeSYN(now, f, ReasonPlaced)
 	}
+	return e.admitSYN(now, route, f)
+}
+
+// placeSYN forwards a SYN for the first time and tracks its flow.
+func (e *Engine) placeSYN(now time.Duration, f *flow, reason Reason) Verdict {
+	verdict := e.forwardSYN(now, f, reason)
+	if verdict.Action != ActionForward {
+		e.removeFlow(f.key)
+		return verdict
+	}
+	e.flows[f.key] = f
+	e.pending[f.key] = f
+	f.enterLimiter(e.targets.limiters.of(f.pending.pool.ID))
 	return verdict
 }
 
@@ -125,7 +131,7 @@
 // NextDeadline returns when HandleDeadlines must run next, 0 for at once; ok is false
 // if nothing is pending.
 func (e *Engine) NextDeadline() (at time.Duration, ok bool) {
-	if len(e.resets) > 0 {
+	if len(e.resets) > 0 || e.admitDue {
 		return 0, true
 	}
 	at, ok = e.targets.nextRecheck()
@@ -142,11 +148,16 @@
 // resets to verdicts. Call it only after all packets that have arrived were passed to
 // HandlePacket.
 func (e *Engine) HandleDeadlines(now time.Duration, verdicts []Verdict) []Verdict {
+	verdicts = e.admitWaiting(now, verdicts)
 	for key, f := range e.pending {
 		s := f.pending
 		if now < s.deadline {
 			continue
 		}
+		if s.queued {
+			verdicts = append(verdicts, e.expireWaiting(f))
+			continue
+		}
 		if now-s.startedAt > clientConnectTimeout {
 			e.removeFlow(key)
 			continue
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/estimate"
 	"github.com/guavawharf/guavawharf/internal/coordination/shed"
 	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
@@ -20,8 +21,16 @@
 	domain     state.DomainID
 	pool       catalog.PoolID
 	limiter    *shed.Limiter
-	local      bool
-	startedAt  int64
+	// source is what the limiter keeps of the target.
+	source shed.Source
+	// estimate is that of the queue at the target, domainEstimate that of its failure domain.
+	estimate       estimate.Target
+	domainEstimate *domainEstimate
+	// selected orders the targets by when this host last selected them for a new flow. Among
+	// those that it never did the order is random; 0 is none yet.
+	selected  float64
+	local     bool
+	startedAt int64
 	// pendingSYNs is the number of SYNs forwarded to the target whose flow is not open yet.
 	pendingSYNs int
 	// waiting is the number of flows that await an answer to a request.
@@ -109,37 +118,66 @@
 	down      []*targetRecord
 	totalLoad loadTracker
 	limiters  limiters
+	// estimates are those of the failure domains, by pool.
+	estimates map[catalog.PoolID]estimates
+	// selections counts the targets selected for new flows.
+	selections float64
 	// lastAnswer is when any target was last seen to answer.
 	lastAnswer time.Duration
 }
 
 func newTargetTable(localDomain state.DomainID) *targetTable {
-	return &targetTable{localDomain: localDomain, byID: make(map[catalog.TargetID]*targetRecord), limiters: make(limiters)}
+	return &targetTable{
+		localDomain: localDomain,
+		byID:        make(map[catalog.TargetID]*targetRecord),
+		limiters:    make(limiters),
+		estimates:   make(map[catalog.PoolID]estimates),
+	}
 }
 
 // getOrCreate returns the record of a target.
 func (t *targetTable) getOrCreate(target *catalog.Target, now time.Duration) *targetRecord {
 	r := t.byID[target.ID]
 	if r == nil {
+		domain := t.domainEstimate(target)
 		r = &targetRecord{
-			id:          target.ID,
-			name:        target.Name,
-			address:     target.Address,
-			healthPath:  target.HealthPath,
-			domain:      target.Domain,
-			pool:        target.Pool,
-			limiter:     t.limiters.of(target.Pool),
-			local:       target.Domain == t.localDomain,
-			startedAt:   target.StartMillis,
-			lastAnswer:  now,
-			warmUpUntil: now + target.WarmUp,
-			totalLoad:   &t.totalLoad,
+			source:         shed.Source{Domain: target.Domain},
+			estimate:       estimate.NewTarget(&domain.Domain),
+			domainEstimate: domain,
+			id:             target.ID,
+			name:           target.Name,
+			address:        target.Address,
+			healthPath:     target.HealthPath,
+			domain:         target.Domain,
+			pool:           target.Pool,
+			limiter:        t.limiters.of(target.Pool),
+			local:          target.Domain == t.localDomain,
+			startedAt:      target.StartMillis,
+			lastAnswer:     now,
+			warmUpUntil:    now + target.WarmUp,
+			totalLoad:      &t.totalLoad,
 		}
 		t.byID[target.ID] = r
 	}
 	return r
 }
 
+// domainEstimate returns the estimate of a target's pool in its failure domain.
+func (t *targetTable) domainEstimate(target *catalog.Target) *domainEstimate {
+	pool := t.estimates[target.Pool]
+	if pool == nil {
+		pool = make(estimates)
+		t.estimates[target.Pool] = pool
+	}
+	return pool.of(target.Domain)
+}
+
+// markSelected records that a target was selected for a new flow.
+func (t *targetTable) markSelected(r *targetRecord) {
+	t.selections++
+	r.selected = t.selections
+}
+
 // recordAnswer records that a target answered a packet. A target that is down stays so
 // until a check passes: a network partition may let its answers through, and clients
 // still acknowledge what it sent.
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -68,6 +68,9 @@
 	// ReasonDomainDrained resets a new flow because the operator drains the failure domains
 	// of all targets that could take it.
 	ReasonDomainDrained Reason = "domain_drained"
+	// ReasonWaiting holds a new SYN until a request in flight ends, since the targets have
+	// a standing queue.
+	ReasonWaiting Reason = "waiting"
 	// ReasonOverloaded resets a new flow because the targets have a standing queue.
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonUnknownCookie drops a packet whose target is not known here but may be known
--- a/internal/edge/drains_test.go
+++ b/internal/edge/drains_test.go
@@ -127,7 +127,9 @@
 	b.store.DrainDomain("a")
 	b.requireDrained(time.Now())
 	b.store.Restore(backup)
-	b.eventually(func() bool { return b.logs.contains(`store restored from a backup; keeping what is newer here" kind=evacuations`) })
+	b.eventually(func() bool {
+		return b.logs.contains(`store restored from a backup; keeping what is newer here" kind=evacuations`)
+	})
 	for began := time.Now(); time.Since(began) < testDrainBound; time.Sleep(20 * time.Millisecond) {
 		require.Equal(t, remoteTarget, b.request(b.open()))
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -74,7 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
-	e.traffic, err = newTraffic(e, socket, steer.NewEngine(settings.Domain, rand.Float64))
+	engine := steer.NewEngine(settings.Domain, rand.Float64)
+	engine.SetEstimateFrom(settings.EstimateFrom)
+	e.traffic, err = newTraffic(e, socket, engine)
 	if err != nil {
 		return nil, errors.Join(err, socket.Close())
 	}
--- a/internal/protocol/edgesettings/settings.go
+++ b/internal/protocol/edgesettings/settings.go
@@ -45,6 +45,9 @@
 	// MaxFlowAge is the age that the oldest open flow may reach; a target that
 	// has left is remembered for at least this long.
 	MaxFlowAge time.Duration
+	// EstimateFrom is the number of targets of a pool from which new flows are placed by
+	// estimates of the targets' queues, 0 for never.
+	EstimateFrom int
 	// LogLevel is the lowest level that is logged. LogRate is the largest number
 	// of lines per second with the same message.
 	LogLevel slog.Level
@@ -78,6 +81,7 @@
 		DomainDrainBound: bounds.Duration("domain_drain", 0, minChangeBound, maxChangeBound),
 		LeaveDeadline:    bounds.Duration("leave", DefaultLeaveDeadline, minLeaveDeadline, maxLeaveDeadline),
 		MaxFlowAge:       bounds.Duration("max_flow_age", DefaultMaxFlowAge, minMaxFlowAge, maxMaxFlowAge),
+		EstimateFrom:     int(root.Subtable("balance").Integer("estimate_from", DefaultEstimateFrom, minEstimateFrom, maxEstimateFrom)),
 		LogLevel:         level,
 		LogRate:          int(log.Integer("lines_per_second", DefaultLogRate, minLogRate, maxLogRate)),
 	}
