Refuse flows that reach no target behind a drain, and trust failed checks less

Cause 2: a check that was not made counted as an answer of its target. It now shows nothing; the test that expected CheckPassed of a stalled host expects CheckInconclusive. Change: a witness has 30 ms; one timeout among many false alarms is no proof; a SYN makes two targets suspected at most; only targets in use are checked again.

--- a/internal/coordination/steer/checks.go
+++ b/internal/coordination/steer/checks.go
@@ -56,6 +56,10 @@
 		return false
 	}
 	r.nextCheck = now + checkInterval
+	if outcome == CheckInconclusive {
+		return false
+	}
+	t.alarms.record(now, outcome == CheckPassed)
 	silence := now - r.lastAnswer
 	if outcome == CheckPassed {
 		t.recordAnswer(now, r)
@@ -103,7 +107,7 @@
 // nextRecheck returns when the first down target is due for another check.
 func (t *targetTable) nextRecheck() (at time.Duration, ok bool) {
 	for _, r := range t.down {
-		if !r.checking && (!ok || r.nextCheck < at) {
+		if !r.checking && t.inUse(r) && (!ok || r.nextCheck < at) {
 			at, ok = r.nextCheck, true
 		}
 	}
@@ -113,6 +117,14 @@
 // recheckDown requests checks of the down targets that are due.
 func (t *targetTable) recheckDown(now time.Duration) {
 	for _, r := range t.down {
-		t.requestCheck(now, r)
+		if t.inUse(r) {
+			t.requestCheck(now, r)
+		}
 	}
 }
+
+// inUse reports whether a target may take new flows or has flows here. Whether one that has
+// left is back is of no use to anybody.
+func (t *targetTable) inUse(r *targetRecord) bool {
+	return r.offeredIn == t.views || r.openFlows+r.pendingSYNs > 0
+}
--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -52,10 +52,13 @@
 // SetView replaces the view of routes and targets.
 func (e *Engine) SetView(now time.Duration, view *catalog.View) {
 	e.view = view
+	e.targets.drained = view.DrainedDomains
+	e.targets.views++
 	for _, pool := range view.Pools {
 		e.targets.limiters.of(pool.ID).UseRejections = e.usesEstimates(pool)
 		for _, target := range pool.Offered {
 			r := e.targets.getOrCreate(target, now)
+			r.offeredIn = e.targets.views
 			if r.restarted(target) {
 				e.handleRestart(now, r, target)
 			}
--- a/internal/coordination/steer/sweep.go
+++ b/internal/coordination/steer/sweep.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
@@ -31,6 +32,7 @@
 	e.targets.limiters.evictUnused(e.view)
 	e.targets.evictUnusedEstimates(e.view)
 	e.sweepQueues()
+	maps.DeleteFunc(e.targets.reaches, func(pool catalog.PoolID, _ *reach) bool { return e.view.Pools[pool] == nil })
 	e.unknownCookies.sweep(now)
 }
 
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -36,6 +36,10 @@
 
 // placeSYN forwards a SYN for the first time and tracks its flow.
 func (e *Engine) placeSYN(now time.Duration, f *flow, reason Reason) Verdict {
+	if e.outOfReach(now, e.currentPool(f.pending.pool)) {
+		e.removeFlow(f.key)
+		return refuse(f, ReasonUnreachable)
+	}
 	verdict := e.forwardSYN(now, f, reason)
 	if verdict.Action != ActionForward {
 		e.removeFlow(f.key)
@@ -60,7 +64,11 @@
 // retrySYN records the latest attempt as unanswered and makes another one.
 func (e *Engine) retrySYN(now time.Duration, f *flow) Verdict {
 	s := f.pending
-	if n := len(s.tried); n > 0 {
+	n := len(s.tried)
+	if n > 0 {
+		e.targets.reaches.of(s.pool.ID).unanswered++
+	}
+	if n > 0 && n <= maxSuspectedAttempts {
 		e.targets.recordMiss(now, s.tried[n-1], false)
 	}
 	return e.forwardSYN(now, f, ReasonRetried)
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -28,7 +28,9 @@
 	domainEstimate *domainEstimate
 	// selected orders the targets by when this host last selected them for a new flow. Among
 	// those that it never did the order is random; 0 is none yet.
-	selected  float64
+	selected float64
+	// offeredIn is the number of the latest view in which the target takes new flows.
+	offeredIn int
 	local     bool
 	startedAt int64
 	// pendingSYNs is the number of SYNs forwarded to the target whose flow is not open yet.
@@ -61,8 +63,9 @@
 	// warmUpUntil is when the target stops being slow after its start.
 	warmUpUntil  time.Duration
 	handshakeRTT rttEstimator
-	// totalLoad is the load of all targets.
+	// totalLoad is the load of all targets, alarms counts the recent checks of all.
 	totalLoad *loadTracker
+	alarms    *alarms
 }
 
 // confirmedDown reports whether the target is down, by evidence recent and strong enough
@@ -73,7 +76,7 @@
 	switch {
 	case !r.down || now-r.lastFailure > maxEvidenceAge:
 		return false
-	case r.totalLoad.overloaded():
+	case r.totalLoad.overloaded(), r.suspicionUnreliable(now):
 		return r.missedRetransmission && longSilent
 	}
 	return longSilent || r.missedRetransmission || r.partitionSuspected || r.refused && !r.totalLoad.possiblyOverloaded()
@@ -84,7 +87,17 @@
 // connection either, while it still acknowledges data at once, but then the other targets
 // are overloaded, too.
 func (r *targetRecord) likelyDown(now time.Duration) bool {
-	return r.confirmedDown(now) || r.down && now-r.lastFailure <= maxEvidenceAge && !r.totalLoad.possiblyOverloaded()
+	if r.confirmedDown(now) {
+		return true
+	}
+	recent := r.down && now-r.lastFailure <= maxEvidenceAge
+	return recent && !r.totalLoad.possiblyOverloaded() && !r.suspicionUnreliable(now)
+}
+
+// suspicionUnreliable reports whether the failed check of the target proves nothing: it
+// timed out while most other suspicions were wrong.
+func (r *targetRecord) suspicionUnreliable(now time.Duration) bool {
+	return !r.refused && r.alarms.unreliable(now)
 }
 
 // resetEvidence returns the evidence for a reset of a flow at the target.
@@ -117,6 +130,7 @@
 	// down are the targets whose last check failed.
 	down      []*targetRecord
 	totalLoad loadTracker
+	alarms    alarms
 	limiters  limiters
 	// estimates are those of the failure domains, by pool.
 	estimates map[catalog.PoolID]estimates
@@ -124,6 +138,12 @@
 	selections float64
 	// lastAnswer is when any target was last seen to answer.
 	lastAnswer time.Duration
+	// views numbers the views.
+	views int
+	// drained are the drained failure domains, reaches what is known of the paths to the
+	// targets of the others.
+	drained map[state.DomainID]bool
+	reaches reaches
 }
 
 func newTargetTable(localDomain state.DomainID) *targetTable {
@@ -132,6 +152,7 @@
 		byID:        make(map[catalog.TargetID]*targetRecord),
 		limiters:    make(limiters),
 		estimates:   make(map[catalog.PoolID]estimates),
+		reaches:     make(reaches),
 	}
 }
 
@@ -156,6 +177,7 @@
 			lastAnswer:     now,
 			warmUpUntil:    now + target.WarmUp,
 			totalLoad:      &t.totalLoad,
+			alarms:         &t.alarms,
 		}
 		t.byID[target.ID] = r
 	}
@@ -187,6 +209,7 @@
 	r.missedRetransmission = false
 	r.partitionSuspected = false
 	t.lastAnswer = now
+	t.recordReached(now, r)
 }
 
 // recordMiss records that a target left a SYN or data unanswered and requests a check of
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -68,6 +68,9 @@
 	// ReasonDomainDrained resets a new flow because the operator drains the failure domains
 	// of all targets that could take it.
 	ReasonDomainDrained Reason = "domain_drained"
+	// ReasonUnreachable resets a new flow because the host reaches no target outside of the
+	// drained failure domains.
+	ReasonUnreachable Reason = "unreachable"
 	// ReasonWaiting holds a new SYN until a request in flight ends, since the targets have
 	// a standing queue.
 	ReasonWaiting Reason = "waiting"
@@ -157,8 +160,11 @@
 type CheckOutcome uint8
 
 const (
-	// CheckPassed means that the target answered or that the check was inconclusive.
+	// CheckPassed means that the target answered.
 	CheckPassed CheckOutcome = iota
+	// CheckInconclusive means that the check was not made, or that the host was held up
+	// meanwhile. It shows nothing.
+	CheckInconclusive
 	// CheckRefused means that the target refused the connection or that its address
 	// belongs to another target.
 	CheckRefused
--- a/internal/edge/checker.go
+++ b/internal/edge/checker.go
@@ -24,6 +24,9 @@
 	// checkTimeout bounds one connection attempt: several round trips between failure
 	// domains.
 	checkTimeout = 60 * time.Millisecond
+	// witnessTimeout bounds the connection to a witness. It is below checkTimeout: a host whose
+	// own link is full reaches a near witness within checkTimeout and a far target not.
+	witnessTimeout = 30 * time.Millisecond
 	// requiredFailures is the number of attempts that must fail, since the first packet
 	// of a connection may be lost.
 	requiredFailures = 2
@@ -75,7 +78,7 @@
 		c.wake()
 	})
 	if err != nil {
-		c.edge.log.Warn("target check not started; treating the target as alive", "address", check.Address.String(), "error", err.Error())
+		c.edge.log.Warn("target check not started; too many run", "address", check.Address.String(), "error", err.Error())
 	}
 	return err == nil
 }
@@ -91,7 +94,7 @@
 type prober struct {
 	// attempt connects to a target once.
 	attempt func(steer.Check) (alive bool, err error)
-	// anyReachable reports whether any of the addresses answers within checkTimeout.
+	// anyReachable reports whether any of the addresses answers within witnessTimeout.
 	anyReachable func([]netip.AddrPort) bool
 }
 
@@ -99,7 +102,7 @@
 
 // checkTarget makes up to maxAttempts attempts and returns their outcome. The
 // witnesses are contacted during the deciding attempt. A check that stays inconclusive
-// returns steer.CheckPassed.
+// returns steer.CheckInconclusive.
 func checkTarget(check steer.Check, p prober) steer.CheckOutcome {
 	failures := 0
 	for range maxAttempts {
@@ -126,16 +129,16 @@
 		}
 		return steer.CheckAllTimedOut
 	}
-	return steer.CheckPassed
+	return steer.CheckInconclusive
 }
 
 // anyReachable reports whether any of the addresses accepts or refuses a connection
-// within checkTimeout; false without addresses.
+// within witnessTimeout; false without addresses.
 func anyReachable(addresses []netip.AddrPort) bool {
 	answered := make(chan bool, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			conn, err := dial(address, checkTimeout)
+			conn, err := dial(address, witnessTimeout)
 			if err == nil {
 				_ = conn.Close()
 			}
--- a/internal/edge/checker_test.go
+++ b/internal/edge/checker_test.go
@@ -42,7 +42,7 @@
 		"silent":                    {scriptedAttempts(checkTimeout, errNoAnswer), true, steer.CheckTimedOut},
 		"silent like the witnesses": {scriptedAttempts(checkTimeout, errNoAnswer), false, steer.CheckAllTimedOut},
 		"one packet lost":           {scriptedAttempts(checkTimeout, errNoAnswer, nil), true, steer.CheckPassed},
-		"host stalled":              {scriptedAttempts(checkTimeout, errStalled), true, steer.CheckPassed},
+		"host stalled":              {scriptedAttempts(checkTimeout, errStalled), true, steer.CheckInconclusive},
 		"stalled, then silent":      {scriptedAttempts(checkTimeout, errStalled, errNoAnswer), true, steer.CheckTimedOut},
 		"no route, reported early":  {scriptedAttempts(time.Millisecond, errors.New("no route to host")), true, steer.CheckTimedOut},
 	} {
--- a/internal/edge/drains.go
+++ b/internal/edge/drains.go
@@ -74,6 +74,18 @@
 		"peer", c.activePeer.String(), "since_last_read", (now - c.drains.CompleteAsOf()).String())
 }
 
+// setUnreachable records whether no target that this host may use is in its reach.
+func (e *Edge) setUnreachable(unreachable bool) {
+	if e.unreachable.Swap(unreachable) == unreachable {
+		return
+	}
+	message := "targets in reach again; ready"
+	if unreachable {
+		message = "no target in reach outside of drained failure domains; not ready"
+	}
+	e.log.Warn(message, "drained", len(e.drainedDomains()))
+}
+
 // tellReaders tells the hosts that read from this one that objects of a kind have changed.
 func (c *control) tellReaders(kind string) {
 	notice := peerapi.Notice{Version: peerapi.Version, From: c.edge.settings.Control, Kind: kind}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,10 +57,13 @@
 	// notReadyUntil is when an overloaded host that stepped aside reports ready again, in
 	// nanoseconds since start. Until then it still forwards the packets that arrive.
 	notReadyUntil atomic.Int64
-	metrics       *hostMetrics
-	traffic       *traffic
-	control       *control
-	servers       *httpServers
+	// unreachable is set while no target that this host may use is in its reach, though a
+	// drained failure domain has some: hosts of other domains serve the callers then.
+	unreachable atomic.Bool
+	metrics     *hostMetrics
+	traffic     *traffic
+	control     *control
+	servers     *httpServers
 }
 
 // New opens every socket; nothing is served before Run. build is the program's
@@ -163,7 +166,7 @@
 // ready reports whether the fabric should send packets to this host.
 func (e *Edge) ready() bool {
 	steppedAside := e.now() < time.Duration(e.notReadyUntil.Load())
-	return !e.leaving.Load() && !steppedAside && e.view.Load().Ready()
+	return !e.leaving.Load() && !steppedAside && !e.unreachable.Load() && e.view.Load().Ready()
 }
 
 // isClosed reports whether err results from closing this host's own socket.
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -254,7 +254,7 @@
 	}
 	for _, check := range t.engine.DrainChecks() {
 		if !t.checker.start(check) {
-			t.engine.RecordCheck(t.now, check.Target, steer.CheckPassed)
+			t.engine.RecordCheck(t.now, check.Target, steer.CheckInconclusive)
 		}
 	}
 	if t.engine.DrainReadRequest() {
@@ -269,4 +269,5 @@
 	for _, change := range t.engine.DrainOverloadChanges() {
 		t.edge.logOverloadChange(change)
 	}
+	t.edge.setUnreachable(t.engine.Unreachable(t.now))
 }
