Put a drain that a restored store has in force at once

Change: a drain that the store has is in force whatever was known; only a missing one is doubted. The soak's check: after the last disturbance no flow opens at a drained target.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -102,6 +102,7 @@
 func (b *testbed) run(length time.Duration) {
 	random := rand.New(rand.NewPCG(b.seed, 0))
 	restoreRandom := rand.New(rand.NewPCG(b.seed, 1))
+	drainRandom := rand.New(rand.NewPCG(b.seed, 2))
 	b.backup = b.store.Backup()
 	done := make(chan struct{})
 	for range clients {
@@ -112,6 +113,7 @@
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(50+random.IntN(250)) * time.Millisecond)
 		b.injectFault(random)
+		b.maybeToggleDrain(drainRandom)
 		if restoreRandom.IntN(restoreEvery) == 0 {
 			b.restoreStore()
 			b.backup = b.store.Backup()
@@ -147,6 +149,7 @@
 // stops at the first request that fails.
 func (b *testbed) exerciseFlow(client *platformtest.Client, random *rand.Rand) {
 	began := time.Now()
+	opened := began
 	flow, err := client.Open(b.hostSelector(random), service, requestTimeout)
 	if err != nil {
 		b.checkFailure("open", nil, began, err)
@@ -165,6 +168,7 @@
 		b.served.Add(1)
 		if target == "" {
 			target, _, _ = strings.Cut(answer, " ")
+			b.checkDrained(target, opened)
 		}
 		b.checkAnswer(target, request, answer)
 	}
--- a/internal/state/catalog/drains.go
+++ b/internal/state/catalog/drains.go
@@ -7,42 +7,27 @@
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
-// removedDrainRetention is how long a removed drain is remembered, so that a backup of the
-// store does not put it in force again.
-const removedDrainRetention = time.Minute
-
 // domainDrains holds which failure domains the operator drains: none of their targets gets
 // a new flow.
 type domainDrains struct {
 	// drained are the drained domains.
 	drained map[state.DomainID]bool
-	// removedAt holds when a drain was removed.
-	removedAt map[state.DomainID]time.Duration
 	// listed reports whether the complete list of drains has been read at least once.
 	listed bool
-	// doubtUntil is the end of the time after a restore of the store during which a list may
-	// be older than what is known. Until then missing are the drains that the list lacks, and
-	// heldBack those that it has although they had been removed.
-	doubtUntil time.Duration
+	// missing are the drains that a list lacks since the store was restored from a backup.
+	// They stand until doubtUntil, for the operator to write them again.
 	missing    map[state.DomainID]bool
-	heldBack   map[state.DomainID]bool
+	doubtUntil time.Duration
 }
 
 func newDomainDrains() domainDrains {
-	return domainDrains{
-		drained:   make(map[state.DomainID]bool),
-		removedAt: make(map[state.DomainID]time.Duration),
-		missing:   make(map[state.DomainID]bool),
-		heldBack:  make(map[state.DomainID]bool),
-	}
+	return domainDrains{drained: make(map[state.DomainID]bool), missing: make(map[state.DomainID]bool)}
 }
 
 // Drain puts a drain in force and reports whether it was not in force before.
 func (d *Directory) Drain(domain state.DomainID) bool {
 	s := &d.drains
 	delete(s.missing, domain)
-	delete(s.heldBack, domain)
-	delete(s.removedAt, domain)
 	if s.drained[domain] {
 		return false
 	}
@@ -54,19 +39,18 @@
 func (d *Directory) RemoveDrain(now time.Duration, domain state.DomainID) bool {
 	s := &d.drains
 	delete(s.missing, domain)
-	delete(s.heldBack, domain)
 	if !s.drained[domain] {
 		return false
 	}
 	delete(s.drained, domain)
-	s.removedAt[domain] = now
 	d.returnedAt[domain] = now
 	return true
 }
 
 // ListDrains replaces the drains by those of a complete list and reports whether any
-// changed. If restored is set, the store was restored from a backup: what the list and the
-// known drains disagree about stays as it is until RestoreDoubt has passed.
+// changed. If restored is set, the store was restored from a backup: a drain that the list lacks
+// stands until RestoreDoubt has passed. One that it has is in force even if it had been removed,
+// since the operator may have drained the domain again.
 func (d *Directory) ListDrains(now time.Duration, listed map[state.DomainID]bool, restored bool) bool {
 	s := &d.drains
 	changed := !s.listed
@@ -75,10 +59,6 @@
 		s.doubtUntil = now + d.settings.RestoreDoubt
 	}
 	for domain := range listed {
-		if restored && s.recentlyRemoved(now, domain) {
-			s.heldBack[domain] = true
-			continue
-		}
 		changed = d.Drain(domain) || changed
 	}
 	for domain := range s.drained {
@@ -93,17 +73,11 @@
 	return changed
 }
 
-// recentlyRemoved reports whether a drain was in force and has been removed.
-func (s *domainDrains) recentlyRemoved(now time.Duration, domain state.DomainID) bool {
-	removedAt, known := s.removedAt[domain]
-	return known && now-removedAt < removedDrainRetention && !s.drained[domain]
-}
-
-// settleDrains takes over what the store still says at the end of the doubt that follows
-// a restore. It returns when that is, 0 if there is nothing to settle.
+// settleDrains ends the drains that the store still lacks at the end of the doubt that follows
+// a restore. It returns when that is, 0 if there are none.
 func (d *Directory) settleDrains(now time.Duration) (next time.Duration) {
 	s := &d.drains
-	if len(s.missing)+len(s.heldBack) == 0 {
+	if len(s.missing) == 0 {
 		return 0
 	}
 	if now < s.doubtUntil {
@@ -112,9 +86,6 @@
 	for domain := range maps.Clone(s.missing) {
 		d.RemoveDrain(now, domain)
 	}
-	for domain := range maps.Clone(s.heldBack) {
-		d.Drain(domain)
-	}
 	return 0
 }
 
