Keep flows away from targets in their slow start

Cause: a target that has just started bears a number of requests a second that the configuration may limit; nothing read it, and targets of a domain that returns from a drain look warm until their entries tell. Change: where the configuration limits it, such a target gets only flows that no other target can take; targets that were down, or whose domain returned, count as started. Not built: shares of the limit for each host, so the targets are idle meanwhile (docs/design/warm-up.md).

--- a/internal/coordination/steer/checks.go
+++ b/internal/coordination/steer/checks.go
@@ -66,6 +66,7 @@
 		r.avoidUntil = 0
 		if r.down {
 			t.markUp(r)
+			r.upSince = now
 			t.healthChanges = append(t.healthChanges, HealthChange{ID: r.id, Target: r.name, Domain: r.domain, Silence: silence})
 		}
 		return false
--- a/internal/coordination/steer/selection.go
+++ b/internal/coordination/steer/selection.go
@@ -7,29 +7,35 @@
 )
 
 // selectTarget returns the target of the pool with the lowest cost that was not tried
-// yet. If all of them are to be avoided it returns the cheapest anyway: a wrong
-// suspicion must not refuse flows that could be served.
+// yet. Targets in their slow start are left to the flows that no other target can take. If
+// all are to be avoided it returns the cheapest anyway: a wrong suspicion must not refuse
+// flows that could be served.
 func (e *Engine) selectTarget(now time.Duration, pool *catalog.Pool, tried []*targetRecord) (*catalog.Target, *targetRecord) {
 	choose, cost := e.randomCheaper, e.cost
 	if e.usesEstimates(pool) {
 		e.drawNoise(now, pool)
 		choose, cost = leastRecentCheaper, e.estimatedCost
 	}
-	var best, fallback candidate
+	var best, slow, fallback candidate
 	for _, target := range pool.Offered {
 		r := e.targets.getOrCreate(target, now)
 		if contains(tried, r) {
 			continue
 		}
 		c := candidate{target: target, record: r, cost: cost(now, target, r)}
-		if r.avoided(now) {
+		switch {
+		case r.avoided(now):
 			fallback = choose(fallback, c)
-		} else {
+		case r.slowStart(now, target):
+			slow = choose(slow, c)
+		default:
 			best = choose(best, c)
 		}
 	}
-	if best.target == nil {
-		best = fallback
+	for _, next := range []candidate{slow, fallback} {
+		if best.target == nil {
+			best = next
+		}
 	}
 	if best.target != nil {
 		e.targets.markSelected(best.record)
@@ -37,6 +43,12 @@
 	return best.target, best.record
 }
 
+// slowStart reports whether the target bears few requests a second since it has started.
+// One that was down may have, before its entry tells.
+func (r *targetRecord) slowStart(now time.Duration, target *catalog.Target) bool {
+	return target.SlowStart > 0 && now < max(target.SlowUntil, r.upSince+target.SlowStart)
+}
+
 // candidate is a target considered for a new flow.
 type candidate struct {
 	target *catalog.Target
--- a/internal/coordination/steer/selection_test.go
+++ b/internal/coordination/steer/selection_test.go
@@ -191,3 +191,61 @@
 		f.engine.NextDeadline()
 	}
 }
+
+// newSlowStartFixture returns a fixture with a target in its slow start and one that is not.
+func newSlowStartFixture(t *testing.T, length time.Duration) *fixture {
+	f := newFixture(t, orderTarget(1, "a"), orderTarget(2, "a"))
+	config := catalog.Config{Version: 2, SlowStarts: map[catalog.PoolID]time.Duration{orderPool: length}, Routes: []catalog.Route{
+		{Name: "feed", Address: feedAddress, Pools: []catalog.PoolWeight{{Pool: orderPool, Weight: 1}}, Idempotent: true},
+	}}
+	f.directory.SetConfig(config)
+	started := orderTarget(2, "a")
+	started.WarmUp = 2 * time.Second
+	f.directory.Put(f.now, started)
+	f.publish()
+	return f
+}
+
+func TestTargetInItsSlowStartIsLeftToFlowsThatNoOtherCanTake(t *testing.T) {
+	f := newSlowStartFixture(t, 2*time.Second)
+	for range 50 {
+		c := f.newClient(feedAddress)
+		require.Equal(t, "t1", c.establish().Name)
+		c.sendRequest()
+	}
+	f.directory.Remove(f.now, "t1")
+	f.publish()
+	require.Equal(t, "t2", f.newClient(feedAddress).establish().Name)
+}
+
+func TestSlowStartEnds(t *testing.T) {
+	f := newSlowStartFixture(t, 2*time.Second)
+	f.now += 2 * time.Second
+	f.establishAt(feedAddress, "t2")
+}
+
+// A target that was down may have started again before its entry tells.
+func TestTargetThatWasDownIsInItsSlowStart(t *testing.T) {
+	f := newSlowStartFixture(t, 2*time.Second)
+	f.now += 10 * time.Second
+	f.establishAt(feedAddress, "t2")
+	f.engine.RecordCheck(f.now, f.suspect("t2"), CheckTimedOut)
+	f.now += checkInterval
+	f.engine.RecordCheck(f.now, f.suspect("t2"), CheckPassed)
+	for range 50 {
+		require.Equal(t, "t1", f.newClient(feedAddress).establish().Name)
+	}
+	f.now += 2 * time.Second
+	f.establishAt(feedAddress, "t2")
+}
+
+// Without a limit in the configuration a target that is warming up only costs more.
+func TestWithoutSlowStartsWarmingTargetsAreUsed(t *testing.T) {
+	f := newSlowStartFixture(t, 0)
+	for range 10 {
+		c := f.newClient(feedAddress)
+		c.establish()
+		c.sendRequest()
+	}
+	f.establishAt(feedAddress, "t2")
+}
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -60,6 +60,8 @@
 	down        bool
 	lastFailure time.Duration
 	refused     bool
+	// upSince is when the target was found up again after it was down; negative if never.
+	upSince time.Duration
 	// warmUpUntil is when the target stops being slow after its start.
 	warmUpUntil  time.Duration
 	handshakeRTT rttEstimator
@@ -115,6 +117,10 @@
 // reported by another host.
 func (r *targetRecord) avoided(now time.Duration) bool { return r.down || now < r.avoidUntil }
 
+// neverDown is the time since which a target is up that was never down: long before any
+// slow start.
+const neverDown = -time.Hour
+
 // targetTable holds the records of the targets.
 type targetTable struct {
 	localDomain state.DomainID
@@ -174,6 +180,7 @@
 			limiter:        t.limiters.of(target.Pool),
 			local:          target.Domain == t.localDomain,
 			startedAt:      target.StartMillis,
+			upSince:        neverDown,
 			lastAnswer:     now,
 			warmUpUntil:    now + target.WarmUp,
 			totalLoad:      &t.totalLoad,
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -41,6 +41,10 @@
 	Draining bool
 	// WarmUp is how long the target stays slow after its entry was written.
 	WarmUp time.Duration
+	// SlowStart is the pool's entry in Config.SlowStarts, 0 for none. SlowUntil is until when
+	// the target bears few requests only, as far as its entry and its failure domain tell.
+	SlowStart time.Duration
+	SlowUntil time.Duration
 	// StartMillis is the target's start time in Unix milliseconds. A target that
 	// restarts under the same ID has lost its earlier flows.
 	StartMillis int64
@@ -84,4 +88,7 @@
 	// HealthPaths holds, for each pool, the HTTP path at which its targets report
 	// their name and health.
 	HealthPaths map[PoolID]string
+	// SlowStarts holds, for each pool whose targets bear a limited number of requests a
+	// second after their start, how long that lasts.
+	SlowStarts map[PoolID]time.Duration
 }
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -174,6 +174,7 @@
 	delete(d.departed, target.Name)
 	delete(d.unreadable, target.Name)
 	delete(d.heldBack, target.Name)
+	target.SlowUntil = now + target.WarmUp
 	d.targets[target.Name] = target
 	return true
 }
@@ -240,7 +241,7 @@
 		RemovedAddresses: d.removedAddresses,
 		Routes:           make(map[netip.AddrPort]*RouteEntry, len(d.config.Routes)),
 		Pools:            make(map[PoolID]*Pool),
-	}, healthPaths: d.config.HealthPaths}
+	}, config: &d.config, returnedAt: d.returnedAt}
 	for _, target := range d.targets {
 		b.addTarget(target, !target.Draining)
 	}
--- a/internal/state/catalog/view_builder.go
+++ b/internal/state/catalog/view_builder.go
@@ -3,12 +3,18 @@
 import (
 	"cmp"
 	"slices"
+	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
 )
 
 // viewBuilder assembles a View.
 type viewBuilder struct {
-	view        *View
-	healthPaths map[PoolID]string
+	view   *View
+	config *Config
+	// returnedAt holds when the drain of a failure domain was removed. Its targets may have
+	// started again meanwhile, and their entries tell that late.
+	returnedAt map[state.DomainID]time.Duration
 }
 
 // pool returns the pool with the ID and creates it if necessary.
@@ -25,7 +31,11 @@
 // the one that started first keeps it; the other takes no flows until the first is no
 // longer retained.
 func (b *viewBuilder) addTarget(target Target, offered bool) {
-	target.HealthPath = b.healthPaths[target.Pool]
+	target.HealthPath = b.config.HealthPaths[target.Pool]
+	target.SlowStart = b.config.SlowStarts[target.Pool]
+	if returnedAt, returned := b.returnedAt[target.Domain]; returned {
+		target.SlowUntil = max(target.SlowUntil, returnedAt+target.SlowStart)
+	}
 	pool := b.pool(target.Pool)
 	cookie := target.ID.Cookie()
 	other := pool.targets[cookie]
