--- a/internal/coordination/steer/inspect.go
+++ b/internal/coordination/steer/inspect.go
@@ -20,6 +20,8 @@
 	// request.
 	Open    int
 	Waiting int
+	// Queue is the estimated queue, in units of the usual time to an answer.
+	Queue float64
 }
 
 // Targets returns the state of every target that the engine tracks.
@@ -28,7 +30,7 @@
 	for id, r := range e.targets.byID {
 		states = append(states, TargetState{
 			ID: id, Down: r.down, Checking: r.checking, Missed: r.missed,
-			Silence: now - r.lastAnswer, Open: r.openFlows, Waiting: r.waiting,
+			Silence: now - r.lastAnswer, Open: r.openFlows, Waiting: r.waiting, Queue: r.estimate.Queue(now),
 		})
 	}
 	return states
--- a/internal/ctl/edge.go
+++ b/internal/ctl/edge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -53,11 +54,11 @@
 	if err != nil {
 		return err
 	}
-	table := Table{Header: []string{"ANSWERING", "AGE", "POOL", "TARGET", "DOMAIN", "ADDRESS", "STATE", "BELIEF", "MISSED", "SILENCE", "OPEN", "WAITING"}}
+	table := Table{Header: []string{"ANSWERING", "AGE", "POOL", "TARGET", "DOMAIN", "ADDRESS", "STATE", "BELIEF", "MISSED", "SILENCE", "OPEN", "WAITING", "QUEUE"}}
 	for _, reply := range replies {
 		for _, row := range reply.Targets {
 			table.addRow(reply.Host, reply.Age.Round(ageResolution), row.Pool, row.Name, row.Domain, row.Address,
-				row.State, row.Belief, row.Missed, row.Silence.Round(ageResolution), row.Open, row.Waiting)
+				row.State, row.Belief, row.Missed, row.Silence.Round(ageResolution), row.Open, row.Waiting, strconv.FormatFloat(row.Queue, 'f', 1, 64))
 		}
 	}
 	return render(c.out, c.options.Output, replies, table)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -164,7 +164,8 @@
 		message = "targets overloaded; refusing new flows"
 	}
 	e.log.Warn(message, "pool", string(change.Pool),
-		"late", change.LateShare, "queue_of_objective", change.QueueShare, "in_flight", change.InFlight, "answers", change.Answers)
+		"late", change.LateShare, "queue_of_objective", change.QueueShare, "in_flight", change.InFlight,
+		"rejected", change.RejectedShare, "answers", change.Answers)
 }
 
 // logHealthChange logs that a target is now considered down, or up again.
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
+	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
 
@@ -65,7 +66,7 @@
 		return err
 	}
 	e := o.edge
-	state, err := e.traffic.inspect()
+	snapshot, err := e.traffic.inspect()
 	if err != nil {
 		return err
 	}
@@ -79,7 +80,7 @@
 			continue
 		}
 		for _, target := range view.Pools[id].All() {
-			reply.Targets = append(reply.Targets, targetRow(view.Pools[id], target, state.targets))
+			reply.Targets = append(reply.Targets, targetRow(view.Pools[id], target, view.DrainedDomains, snapshot.targets))
 		}
 	}
 	return nil
@@ -87,7 +88,7 @@
 
 // targetRow returns the row of one target of a pool. Its health is HealthUnseen if states
 // has no entry for it.
-func targetRow(pool *catalog.Pool, target *catalog.Target, states []steer.TargetState) edgeapi.Target {
+func targetRow(pool *catalog.Pool, target *catalog.Target, drained map[state.DomainID]bool, states []steer.TargetState) edgeapi.Target {
 	row := edgeapi.Target{
 		Name: target.Name, Pool: target.Pool, Domain: target.Domain, Address: target.Address,
 		State: edgeapi.StateLeft, Belief: edgeapi.HealthUnseen,
@@ -97,14 +98,16 @@
 		row.State = edgeapi.StateOffered
 	case target.Draining:
 		row.State = edgeapi.StateDraining
+	case drained[target.Domain]:
+		row.State = edgeapi.StateDomainDrained
 	}
 	i := slices.IndexFunc(states, func(s steer.TargetState) bool { return s.ID == target.ID })
 	if i < 0 {
 		return row
 	}
-	state := states[i]
-	row.Belief = targetHealth(state)
-	row.Missed, row.Silence, row.Open, row.Waiting = state.Missed, state.Silence, state.Open, state.Waiting
+	observed := states[i]
+	row.Belief = targetHealth(observed)
+	row.Missed, row.Silence, row.Open, row.Waiting, row.Queue = observed.Missed, observed.Silence, observed.Open, observed.Waiting, observed.Queue
 	return row
 }
 
@@ -124,7 +127,7 @@
 		return err
 	}
 	e := o.edge
-	state, err := e.traffic.inspect()
+	snapshot, err := e.traffic.inspect()
 	if err != nil {
 		return err
 	}
@@ -134,7 +137,7 @@
 		Ready: e.ready(), Leaving: e.leaving.Load(),
 		Config: e.configVersion(), ConfigAge: e.age(&e.configReadAt), TargetsAge: e.age(&e.targetsReadAt),
 		DrainedDomains: e.drainedDomains(), ReadsDrains: e.control.drains != nil, DrainsAge: e.age(&e.drainsReadAt),
-		StoreAway: source.storeUnavailable, Asks: source.peer, AskedBy: e.control.peerServer.pollerHosts(), Flows: state.flows,
+		StoreAway: source.storeUnavailable, Asks: source.peer, AskedBy: e.control.peerServer.pollerHosts(), Flows: snapshot.flows,
 	}
 	return nil
 }
--- a/internal/protocol/edgeapi/edgeapi.go
+++ b/internal/protocol/edgeapi/edgeapi.go
@@ -57,6 +57,8 @@
 const (
 	// StateOffered targets take new flows.
 	StateOffered State = "offered"
+	// StateDomainDrained targets would take new flows if their failure domain was not drained.
+	StateDomainDrained State = "domain drained"
 	// StateDraining targets are about to leave and take no new flows.
 	StateDraining State = "draining"
 	// StateLeft targets have no entry in the store; their open flows are still forwarded.
@@ -105,6 +107,9 @@
 	// that await an answer to a request.
 	Open    int
 	Waiting int
+	// Queue is the time that one more request is estimated to wait, in units of the usual
+	// time to an answer.
+	Queue float64
 }
 
 // HostReply is the status of a host.
