Share out the slow starts of targets among the hosts of their domain

Cause: targets in a limited slow start got nothing while another target could take a flow, and all of what came if none could: neither full use nor a bound. Change: a list of the hosts of each domain passes along with the reads between hosts; each target belongs to one host by rendezvous hashing, which sends it 0.75 of its limit. Without a share and another target a flow is refused at once.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -1,8 +1,10 @@
 package steer
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/slowstart"
 	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
@@ -32,6 +34,8 @@
 	admitDue    bool
 	// handshakeTime is the HandshakeTime of the verdict on the current packet.
 	handshakeTime time.Duration
+	// shares are those of targets in their slow start, nil if they are not shared out.
+	shares *slowstart.Shares
 	// estimateFrom is the number of targets of a pool from which its new flows are placed by
 	// estimates, 0 for never.
 	estimateFrom int
@@ -49,6 +53,17 @@
 	}
 }
 
+// ShareSlowStarts has targets in their slow start get new flows by shares.
+func (e *Engine) ShareSlowStarts(shares *slowstart.Shares) { e.shares = shares }
+
+// SetDomainHosts sets the hosts that share out the slow starts of targets in this failure
+// domain; nil if they are not known.
+func (e *Engine) SetDomainHosts(hosts []netip.AddrPort) {
+	if e.shares != nil {
+		e.shares.SetHosts(hosts)
+	}
+}
+
 // SetView replaces the view of routes and targets.
 func (e *Engine) SetView(now time.Duration, view *catalog.View) {
 	e.view = view
--- a/internal/coordination/steer/selection.go
+++ b/internal/coordination/steer/selection.go
@@ -26,12 +26,16 @@
 		switch {
 		case r.avoided(now):
 			fallback = choose(fallback, c)
-		case r.slowStart(now, target):
+		case r.slowStart(now, target) && !e.ownsSlowStart(now, target, r):
 			slow = choose(slow, c)
 		default:
 			best = choose(best, c)
 		}
 	}
+	if e.shares != nil {
+		// Without a share a target in its slow start gets nothing.
+		slow = candidate{}
+	}
 	for _, next := range []candidate{slow, fallback} {
 		if best.target == nil {
 			best = next
@@ -39,6 +43,7 @@
 	}
 	if best.target != nil {
 		e.targets.markSelected(best.record)
+		e.recordSlowStart(now, best.target, best.record)
 	}
 	return best.target, best.record
 }
@@ -46,7 +51,20 @@
 // slowStart reports whether the target bears few requests a second since it has started.
 // One that was down may have, before its entry tells.
 func (r *targetRecord) slowStart(now time.Duration, target *catalog.Target) bool {
-	return target.SlowStart > 0 && now < max(target.SlowUntil, r.upSince+target.SlowStart)
+	return target.SlowStart.Length > 0 && now < max(target.SlowUntil, r.upSince+target.SlowStart.Length)
+}
+
+// ownsSlowStart reports whether this host may send the target, which is in its slow start, a
+// new flow of its share.
+func (e *Engine) ownsSlowStart(now time.Duration, target *catalog.Target, r *targetRecord) bool {
+	return e.shares != nil && r.local && e.shares.MayUse(now, target.ID, target.SlowStart.PerSecond)
+}
+
+// recordSlowStart counts a new flow to a target in its slow start.
+func (e *Engine) recordSlowStart(now time.Duration, target *catalog.Target, r *targetRecord) {
+	if e.shares != nil && r.slowStart(now, target) && e.ownsSlowStart(now, target, r) {
+		e.shares.RecordUse(target.ID)
+	}
 }
 
 // candidate is a target considered for a new flow.
--- a/internal/coordination/steer/selection_test.go
+++ b/internal/coordination/steer/selection_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/slowstart"
 	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
@@ -195,7 +196,7 @@
 // newSlowStartFixture returns a fixture with a target in its slow start and one that is not.
 func newSlowStartFixture(t *testing.T, length time.Duration) *fixture {
 	f := newFixture(t, orderTarget(1, "a"), orderTarget(2, "a"))
-	config := catalog.Config{Version: 2, SlowStarts: map[catalog.PoolID]time.Duration{orderPool: length}, Routes: []catalog.Route{
+	config := catalog.Config{Version: 2, SlowStarts: map[catalog.PoolID]catalog.SlowStart{orderPool: {Length: length, PerSecond: 4}}, Routes: []catalog.Route{
 		{Name: "feed", Address: feedAddress, Pools: []catalog.PoolWeight{{Pool: orderPool, Weight: 1}}, Idempotent: true},
 	}}
 	f.directory.SetConfig(config)
@@ -249,3 +250,72 @@
 	}
 	f.establishAt(feedAddress, "t2")
 }
+
+// newShareFixture returns a fixture whose only targets are in their slow start, at a host
+// that shares them out with others.
+func newShareFixture(t *testing.T, hosts ...netip.AddrPort) *fixture {
+	f := newSlowStartFixture(t, 20*time.Second)
+	for number := range 2 {
+		started := orderTarget(number+1, "a")
+		started.WarmUp = 20 * time.Second
+		f.directory.Put(f.now, started)
+	}
+	f.publish()
+	f.now += time.Second
+	f.engine.ShareSlowStarts(slowstart.New(shareHost, slowstart.Bound{Overage: 1.5, Slack: 5}))
+	f.engine.SetDomainHosts(hosts)
+	return f
+}
+
+// shareHost is the host of these tests, otherHost another one of its domain.
+var (
+	shareHost = netip.MustParseAddrPort("10.1.0.10:8166")
+	otherHost = netip.MustParseAddrPort("10.1.0.11:8166")
+)
+
+// placedInASecond returns how many of many SYNs within a second were forwarded.
+func (f *fixture) placedInASecond() (placed int) {
+	for range 100 {
+		verdict := f.newClient(feedAddress).sendSYN()
+		if verdict.Action == ActionForward {
+			placed++
+		} else {
+			require.Equal(f.t, ReasonSlowStart, verdict.Reason)
+			require.Equal(f.t, ActionReset, verdict.Action)
+		}
+		f.now += 10 * time.Millisecond
+	}
+	return placed
+}
+
+func TestShareOfASlowStartIsKept(t *testing.T) {
+	f := newShareFixture(t, shareHost)
+	const targets, perSecond = 2, 4
+	placed := f.placedInASecond()
+	require.LessOrEqual(t, placed, targets*(perSecond*3/4+2))
+	require.GreaterOrEqual(t, placed, targets*perSecond*7/10)
+}
+
+func TestHostWithoutAShareRefuses(t *testing.T) {
+	require.Zero(t, newShareFixture(t).placedInASecond(), "no list is known")
+	require.Zero(t, newShareFixture(t, otherHost).placedInASecond())
+}
+
+// Copies of a SYN count, too: the bound is about what arrives at the target.
+func TestRetriesCountInTheShare(t *testing.T) {
+	f := newShareFixture(t, shareHost)
+	forwarded := 0
+	for range 5 {
+		if f.newClient(feedAddress).sendSYN().Action == ActionForward {
+			forwarded++
+		}
+	}
+	for range 10 {
+		for _, verdict := range f.advance(maxAttemptTimeout) {
+			if verdict.Action == ActionForward {
+				forwarded++
+			}
+		}
+	}
+	require.LessOrEqual(t, forwarded, 2*(4*3/4+2))
+}
--- a/internal/coordination/steer/sweep.go
+++ b/internal/coordination/steer/sweep.go
@@ -32,6 +32,9 @@
 	e.targets.limiters.evictUnused(e.view)
 	e.targets.evictUnusedEstimates(e.view)
 	e.sweepQueues()
+	if e.shares != nil {
+		e.shares.Forget(e.knows)
+	}
 	maps.DeleteFunc(e.targets.reaches, func(pool catalog.PoolID, _ *reach) bool { return e.view.Pools[pool] == nil })
 	e.unknownCookies.sweep(now)
 }
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -115,7 +115,10 @@
 // wait. If not all running targets may be known, since entries may have expired, it drops
 // the SYN instead: the client's next retransmission may be served.
 func (e *Engine) handleNoTarget(f *flow, pool *catalog.Pool) Verdict {
-	if pool.Drained > 0 {
+	switch {
+	case e.shares != nil && len(pool.Offered) > 0:
+		return refuse(f, ReasonSlowStart)
+	case pool.Drained > 0:
 		return refuse(f, ReasonDomainDrained)
 	}
 	if !e.view.Complete {
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -71,6 +71,9 @@
 	// ReasonUnreachable resets a new flow because the host reaches no target outside of the
 	// drained failure domains.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonSlowStart resets a new flow because all targets that could take it are in their
+	// slow start and this host has no share left.
+	ReasonSlowStart Reason = "slow_start"
 	// ReasonWaiting holds a new SYN until a request in flight ends, since the targets have
 	// a standing queue.
 	ReasonWaiting Reason = "waiting"
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -135,6 +135,8 @@
 // startDueCalls starts the calls that are due.
 func (c *control) startDueCalls(now time.Duration) {
 	serving := c.peerServer.serving(now)
+	_, readsFromPeer := c.chooser.Pick(now, false)
+	c.peerServer.observeHostsAsRoot(!readsFromPeer)
 	for _, f := range c.followers {
 		peer, found := c.chooser.Pick(now, f.follower.Failing())
 		f.follower.SetPeerStatus(now, found, serving)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,10 +9,12 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/slowstart"
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/protocol/edgesettings"
 	"github.com/guavawharf/guavawharf/internal/state"
@@ -60,6 +62,8 @@
 	// unreachable is set while no target that this host may use is in its reach, though a
 	// drained failure domain has some: hosts of other domains serve the callers then.
 	unreachable atomic.Bool
+	// domainHosts are the hosts of this failure domain, nil until a list is known.
+	domainHosts atomic.Pointer[[]netip.AddrPort]
 	metrics     *hostMetrics
 	traffic     *traffic
 	control     *control
@@ -79,6 +83,9 @@
 	}
 	engine := steer.NewEngine(settings.Domain, rand.Float64)
 	engine.SetEstimateFrom(settings.EstimateFrom)
+	if e.slowStartBound().Enabled() {
+		engine.ShareSlowStarts(slowstart.New(settings.Control, e.slowStartBound()))
+	}
 	e.traffic, err = newTraffic(e, socket, engine)
 	if err != nil {
 		return nil, errors.Join(err, socket.Close())
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -44,9 +44,11 @@
 	seeds   []netip.AddrPort
 	// drainBound is the host's bound for drains of failure domains, 0 if it reads none.
 	drainBound time.Duration
-	running    *Edge
-	leave      chan struct{}
-	stopped    chan struct{}
+	// sharesSlowStarts has the hosts share out the slow starts of targets.
+	sharesSlowStarts bool
+	running          *Edge
+	leave            chan struct{}
+	stopped          chan struct{}
 }
 
 // logBuffer collects log lines.
@@ -118,7 +120,7 @@
 
 // settings returns the host's settings.
 func (b *testBed) settings() edgesettings.Settings {
-	return edgesettings.Settings{
+	settings := edgesettings.Settings{
 		HostID: "edge-a-1", Domain: "a", Packets: b.host, Ready: b.ready, Metrics: b.metrics,
 		Control:      netip.AddrPortFrom(b.host.Addr(), controlPort),
 		Seeds:        b.seeds,
@@ -126,6 +128,10 @@
 		ChangeBound:  time.Second, DrainBound: time.Second, LeaveDeadline: 3 * time.Second, MaxFlowAge: time.Minute,
 		DomainDrainBound: b.drainBound,
 	}
+	if b.sharesSlowStarts {
+		settings.SlowStartOverage, settings.SlowStartSlack = 1.5, 5
+	}
+	return settings
 }
 
 // start runs the host until stop or the end of the test.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -48,7 +48,7 @@
 var countedReasons = []steer.Reason{
 	steer.ReasonEstablished, steer.ReasonPlaced, steer.ReasonRetried, steer.ReasonAlreadyOpen, steer.ReasonNotReady,
 	steer.ReasonNoRoute, steer.ReasonNoTarget, steer.ReasonUnknownCookie, steer.ReasonTargetSilent,
-	steer.ReasonTargetRestarted, steer.ReasonTargetUnknown, steer.ReasonOverloaded, steer.ReasonWaiting, steer.ReasonUnreachable, steer.ReasonDomainDrained,
+	steer.ReasonTargetRestarted, steer.ReasonTargetUnknown, steer.ReasonOverloaded, steer.ReasonWaiting, steer.ReasonUnreachable, steer.ReasonSlowStart, steer.ReasonDomainDrained,
 }
 
 func newHostMetrics() *hostMetrics {
@@ -114,6 +114,7 @@
 	m.set.NewGauge("guava_config_age_seconds", func() float64 { return e.age(&e.configReadAt).Seconds() })
 	m.set.NewGauge("guava_targets_age_seconds", func() float64 { return e.age(&e.targetsReadAt).Seconds() })
 	m.set.NewGauge("guava_peers_asking", func() float64 { return float64(e.control.peerServer.pollerCount()) })
+	m.set.NewGauge("guava_domain_hosts", func() float64 { return float64(e.domainHostCount()) })
 	m.set.NewGauge("guava_drained_domains", func() float64 { return float64(len(e.drainedDomains())) })
 	m.set.NewGauge("guava_config_version", func() float64 { return float64(e.configVersion()) })
 }
--- a/internal/edge/peerclient.go
+++ b/internal/edge/peerclient.go
@@ -11,7 +11,8 @@
 
 // readFromPeer sends a request to another host and queues its result.
 func (c *control) readFromPeer(peer netip.AddrPort, request readRequest) {
-	query := peerapi.Query{Version: peerapi.Version, From: c.edge.settings.Control, Reads: []peerapi.Read{peerRead(request)}}
+	query := peerapi.Query{Version: peerapi.Version, From: c.edge.settings.Control, Reads: []peerapi.Read{peerRead(request)},
+		Domain: c.edge.settings.Domain, Hosts: c.peerServer.reportHosts()}
 	result := readResult{readRequest: request, requestedAt: bootTime(), peer: peer}
 	began := time.Now()
 	reply, err := c.peerClient.Read(c.ctx, peer, query)
@@ -19,6 +20,7 @@
 	result.redirect, result.err = reply.Instead, err
 	if len(reply.Answers) == 1 {
 		result.reply = reply.Answers[0]
+		c.peerServer.handleHosts(reply.Hosts)
 	}
 	result.outcome = peerOutcome(result)
 	c.results <- result
--- a/internal/edge/peerserver.go
+++ b/internal/edge/peerserver.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/follow"
+	"github.com/guavawharf/guavawharf/internal/coordination/hostlist"
 	"github.com/guavawharf/guavawharf/internal/coordination/overload"
 	"github.com/guavawharf/guavawharf/internal/coordination/peers"
 	"github.com/guavawharf/guavawharf/internal/protocol/edgeapi"
@@ -40,6 +41,9 @@
 	replicas map[string]*replica.Replica
 	pollers  *peers.Pollers
 	arbiter  *overload.Arbiter
+	// pollerRetention is how long a host that stopped polling still counts as a poller.
+	pollerRetention time.Duration
+	hosts           *hostlist.List
 	// graceUntil is the end of the grace period in which a missing entry does not prove
 	// that its target is gone: the entry may have expired while the store was unavailable.
 	graceUntil time.Duration
@@ -49,11 +53,16 @@
 // than once in the longer of the two bounds on changes; one that stops polling for that
 // long no longer counts as a poller.
 func listenPeers(e *Edge, kinds ...string) (*peerServer, error) {
+	retention := max(e.settings.ChangeBound, e.settings.DrainBound)
+	self := hostlist.Host{Control: e.settings.Control, Domain: e.settings.Domain}
 	r := &peerServer{
 		edge:     e,
 		replicas: make(map[string]*replica.Replica),
-		pollers:  peers.NewPollers(max(e.settings.ChangeBound, e.settings.DrainBound)),
+		pollers:  peers.NewPollers(retention),
 		arbiter:  overload.NewArbiter(),
+		hosts:    hostlist.New(self),
+
+		pollerRetention: retention,
 	}
 	for _, kind := range kinds {
 		r.replicas[kind] = replica.New()
@@ -113,7 +122,7 @@
 	now := r.edge.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply := peerapi.Reply{Instead: r.recordPoll(now, query.From)}
+	reply := peerapi.Reply{Instead: r.recordPoll(now, query.From), Hosts: r.answerHosts(now, query)}
 	for _, read := range query.Reads {
 		reply.Answers = append(reply.Answers, r.answerRead(now, read))
 	}
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 	engine  *steer.Engine
 	view    *catalog.View
 	checker *checker
+	// domainHosts is the list of hosts that the engine has.
+	domainHosts *[]netip.AddrPort
 	// firstPacketAt is when the first packet of the current read was handled, packetsRead
 	// the number of its packets, and idleSince when the work of the previous read ended.
 	firstPacketAt time.Duration
@@ -203,6 +206,7 @@
 		t.engine.SetView(t.now, view)
 	}
 	t.engine.SetTargetsReadAt(readAt)
+	t.loadDomainHosts()
 }
 
 // handlePacket handles one datagram. The buffer may be reused after the next flush, which
--- a/internal/protocol/edgesettings/describe.go
+++ b/internal/protocol/edgesettings/describe.go
@@ -28,6 +28,7 @@
 	maxMaxFlowAge    = 24 * time.Hour
 	minEstimateFrom  = 0
 	maxEstimateFrom  = 1_000_000
+	maxSlowStart     = 1000
 	minLogRate       = 1
 	maxLogRate       = 10_000
 )
@@ -40,6 +41,9 @@
 	formName     = "name"
 	formAddress  = "IP:port"
 	formDuration = "duration"
+	formNumber   = "number"
+
+	rangeSlowStart = "0 to 1000"
 
 	rangeAddress = "a numeric IP address with a port from 1 to 65535"
 )
@@ -60,6 +64,8 @@
 		{Name: "bounds.domain_drain", Form: formDuration, Default: "off", Range: tomldoc.InclusiveRange(minChangeBound, maxChangeBound), Meaning: "Time within which the targets of a drained failure domain get no new flow. Without it, drains of failure domains are not read."},
 		{Name: "bounds.leave", Form: formDuration, Default: DefaultLeaveDeadline.String(), Range: tomldoc.InclusiveRange(minLeaveDeadline, maxLeaveDeadline), Meaning: "Longest time that a graceful shutdown may take."},
 		{Name: "bounds.max_flow_age", Form: formDuration, Default: DefaultMaxFlowAge.String(), Range: tomldoc.InclusiveRange(minMaxFlowAge, maxMaxFlowAge), Meaning: "Age that the oldest open flow may reach; a target that has left is remembered for at least this long."},
+		{Name: "slow_start.overage", Form: formNumber, Default: "0", Range: rangeSlowStart, Meaning: "Factor of a target's limit in its slow start that all hosts together may send it in any second. 0 keeps new flows away from such targets while another can take them."},
+		{Name: "slow_start.slack", Form: formNumber, Default: "0", Range: rangeSlowStart, Meaning: "Requests beyond that; 2 are needed at least."},
 		{Name: "balance.estimate_from", Form: "number of targets", Default: strconv.Itoa(DefaultEstimateFrom), Range: tomldoc.InclusiveRange(minEstimateFrom, maxEstimateFrom), Meaning: "Number of targets of a pool from which new flows are placed by estimates of the targets' queues, and wait for a short time in an overload. 0 is never."},
 		{Name: "log.level", Form: "choice", Default: DefaultLogLevel, Range: "debug, info, warn or error", Meaning: "Lowest level that is logged. Takes effect at SIGHUP."},
 		{Name: "log.lines_per_second", Form: "count per second", Default: strconv.Itoa(DefaultLogRate), Range: tomldoc.InclusiveRange(minLogRate, maxLogRate), Meaning: "Largest number of lines per second with the same message; further lines are dropped and their number is logged."},
--- a/internal/protocol/edgesettings/settings.go
+++ b/internal/protocol/edgesettings/settings.go
@@ -45,6 +45,11 @@
 	// MaxFlowAge is the age that the oldest open flow may reach; a target that
 	// has left is remembered for at least this long.
 	MaxFlowAge time.Duration
+	// SlowStartOverage and SlowStartSlack bound what all hosts together send to a target in
+	// its slow start in any second: its limit times the one plus the other. 0 if slow starts
+	// are not shared out.
+	SlowStartOverage float64
+	SlowStartSlack   float64
 	// EstimateFrom is the number of targets of a pool from which new flows are placed by
 	// estimates of the targets' queues, 0 for never.
 	EstimateFrom int
@@ -63,6 +68,7 @@
 func readSettings(root *tomldoc.Table) Settings {
 	host := root.Subtable("host")
 	bounds := root.Subtable("bounds")
+	slowStart := root.Subtable("slow_start")
 	log := root.Subtable("log")
 	var level slog.Level
 	// UnmarshalText accepts every text in logLevels, so it returns no error.
@@ -81,6 +87,8 @@
 		DomainDrainBound: bounds.Duration("domain_drain", 0, minChangeBound, maxChangeBound),
 		LeaveDeadline:    bounds.Duration("leave", DefaultLeaveDeadline, minLeaveDeadline, maxLeaveDeadline),
 		MaxFlowAge:       bounds.Duration("max_flow_age", DefaultMaxFlowAge, minMaxFlowAge, maxMaxFlowAge),
+		SlowStartOverage: slowStart.Float("overage", 0, 0, maxSlowStart),
+		SlowStartSlack:   slowStart.Float("slack", 0, 0, maxSlowStart),
 		EstimateFrom:     int(root.Subtable("balance").Integer("estimate_from", DefaultEstimateFrom, minEstimateFrom, maxEstimateFrom)),
 		LogLevel:         level,
 		LogRate:          int(log.Integer("lines_per_second", DefaultLogRate, minLogRate, maxLogRate)),
--- a/internal/protocol/peerapi/peerapi.go
+++ b/internal/protocol/peerapi/peerapi.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/hostlist"
+	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
@@ -29,6 +31,10 @@
 	// From is the control address of the requesting host.
 	From  netip.AddrPort
 	Reads []Read
+	// Domain is the failure domain of the requesting host, Hosts what it tells of the hosts
+	// below it; nil if it does not.
+	Domain state.DomainID
+	Hosts  *hostlist.Report
 }
 
 // Read requests objects of one kind.
@@ -56,6 +62,8 @@
 	// Instead redirects the requesting host to the control address of another host. It
 	// is the zero address for no redirect.
 	Instead netip.AddrPort
+	// Hosts answers the query's Hosts.
+	Hosts hostlist.Answer
 }
 
 // Answer answers a Read.
--- a/internal/protocol/tomldoc/values.go
+++ b/internal/protocol/tomldoc/values.go
@@ -106,6 +106,24 @@
 	return t.integer(key, false, fallback, low, high)
 }
 
+// Float returns an optional number from low to high, or the default.
+func (t *Table) Float(key string, fallback, low, high float64) float64 {
+	allowed := fmt.Sprintf("a number from %g to %g", low, high)
+	value, present := t.readValue(key, false, allowed)
+	if !present {
+		return fallback
+	}
+	number, ok := value.(float64)
+	if whole, isWhole := value.(int64); isWhole {
+		number, ok = float64(whole), true
+	}
+	if !ok || number < low || number > high {
+		t.Report(key, "is not allowed; allowed: "+allowed)
+		return fallback
+	}
+	return number
+}
+
 // RequiredInteger returns a required whole number from low to high.
 func (t *Table) RequiredInteger(key string, low, high int64) int64 {
 	return t.integer(key, true, 0, low, high)
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -41,9 +41,9 @@
 	Draining bool
 	// WarmUp is how long the target stays slow after its entry was written.
 	WarmUp time.Duration
-	// SlowStart is the pool's entry in Config.SlowStarts, 0 for none. SlowUntil is until when
-	// the target bears few requests only, as far as its entry and its failure domain tell.
-	SlowStart time.Duration
+	// SlowStart is the pool's entry in Config.SlowStarts, zero for none. SlowUntil is until
+	// when the target bears few requests only, as far as its entry and its failure domain tell.
+	SlowStart SlowStart
 	SlowUntil time.Duration
 	// StartMillis is the target's start time in Unix milliseconds. A target that
 	// restarts under the same ID has lost its earlier flows.
@@ -88,7 +88,13 @@
 	// HealthPaths holds, for each pool, the HTTP path at which its targets report
 	// their name and health.
 	HealthPaths map[PoolID]string
-	// SlowStarts holds, for each pool whose targets bear a limited number of requests a
-	// second after their start, how long that lasts.
-	SlowStarts map[PoolID]time.Duration
+	// SlowStarts holds the slow start of each pool whose targets have a limited one.
+	SlowStarts map[PoolID]SlowStart
+}
+
+// SlowStart is what a target bears after its start, for a while.
+type SlowStart struct {
+	Length time.Duration
+	// PerSecond is the number of requests a second, from all hosts together.
+	PerSecond float64
 }
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -238,6 +238,7 @@
 		DrainsKnown:      d.drainsKnown(now),
 		DrainedDomains:   maps.Clone(d.drains.drained),
 		Complete:         d.listed && now >= d.graceUntil && len(d.unreadable) == 0,
+		SlowStarts:       len(d.config.SlowStarts) > 0,
 		RemovedAddresses: d.removedAddresses,
 		Routes:           make(map[netip.AddrPort]*RouteEntry, len(d.config.Routes)),
 		Pools:            make(map[PoolID]*Pool),
--- a/internal/state/catalog/drains_test.go
+++ b/internal/state/catalog/drains_test.go
@@ -119,7 +119,7 @@
 func TestTargetsOfAReturnedDomainAreInTheirSlowStart(t *testing.T) {
 	d := newDrainDirectory()
 	limited := config(2, "orders")
-	limited.SlowStarts = map[PoolID]time.Duration{"orders": 2 * time.Second}
+	limited.SlowStarts = map[PoolID]SlowStart{"orders": {Length: 2 * time.Second, PerSecond: 3}}
 	d.SetConfig(limited)
 	d.Drain("a")
 	d.RemoveDrain(10*time.Second, "a")
--- a/internal/state/catalog/view.go
+++ b/internal/state/catalog/view.go
@@ -77,6 +77,8 @@
 	DrainsKnown bool
 	// DrainedDomains are the failure domains whose targets get no new flow.
 	DrainedDomains map[state.DomainID]bool
+	// SlowStarts reports whether the targets of any pool have a limited slow start.
+	SlowStarts bool
 	// RemovedAddresses are the addresses that had a route in an earlier configuration
 	// version and have none now.
 	RemovedAddresses map[netip.AddrPort]bool
--- a/internal/state/catalog/view_builder.go
+++ b/internal/state/catalog/view_builder.go
@@ -34,7 +34,7 @@
 	target.HealthPath = b.config.HealthPaths[target.Pool]
 	target.SlowStart = b.config.SlowStarts[target.Pool]
 	if returnedAt, returned := b.returnedAt[target.Domain]; returned {
-		target.SlowUntil = max(target.SlowUntil, returnedAt+target.SlowStart)
+		target.SlowUntil = max(target.SlowUntil, returnedAt+target.SlowStart.Length)
 	}
 	pool := b.pool(target.Pool)
 	cookie := target.ID.Cookie()
