Serve the metrics page after the first step of control

Cause: TestMetricsPageListsReasonsAndGauges failed once beside load; the page was served before the control loop had run. Shown by a pause of 300 ms before its first step: Members 0 for 1, each time. Change: the first step comes before the servers.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -68,13 +68,16 @@
 	return c
 }
 
+// begin makes the first step, so that what others read of the control state is there. It
+// runs on the goroutine of run.
+func (c *controller) begin() { c.step(control.Tick{}) }
+
 // run handles events until the machine returns a Stop action.
 func (c *controller) run(leave <-chan struct{}) {
 	tick := time.NewTicker(control.TickInterval)
 	defer tick.Stop()
 	report := time.NewTicker(reportInterval)
 	defer report.Stop()
-	c.step(control.Tick{})
 	for !c.stopped {
 		select {
 		case <-tick.C:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,6 +127,7 @@
 	d.log.Info(LogStarted, "host", d.settings.Host.ID, "domain", d.settings.Host.Domain,
 		"packets", d.settings.Host.Packets.String(), "control", d.settings.Host.Control.String())
 	d.packetPool.Start()
+	d.control.begin()
 	go d.serve("control", func() error { return d.server.Serve(d.listeners.control) })
 	go d.serve("metrics", func() error { return d.metrics.Serve(d.listeners.metrics) })
 	d.control.run(leave)
