--- a/internal/coordination/follow/model_test.go
+++ b/internal/coordination/follow/model_test.go
@@ -100,6 +100,9 @@
 	peer      *modelHost
 	// flight is an answer on its way.
 	flight *modelFlight
+	// knownAsOf is as of when the host's knowledge is, flightAsOf that of the answer on its way.
+	knownAsOf  time.Duration
+	flightAsOf time.Duration
 	// sawDraining are the targets that the host has known as draining.
 	sawDraining map[string]bool
 }
@@ -164,12 +167,26 @@
 
 // receive handles the answer on its way as the control loop of a host does.
 func (h *modelHost) receive(now time.Duration) {
+	change, received := h.receiveChange(now)
+	if !received {
+		return
+	}
+	for _, object := range change.Objects {
+		h.apply(now, object)
+	}
+	if change.AllKeys != nil {
+		h.directory.RemoveUnlisted(now, change.AllKeys)
+	}
+}
+
+// receiveChange passes the answer on its way, if any, to the follower and the replica, and
+// returns what is new to the host.
+func (h *modelHost) receiveChange(now time.Duration) (change follow.Change, received bool) {
 	flight := h.flight
 	if flight == nil {
-		return
+		return follow.Change{}, false
 	}
 	h.flight = nil
-	var change follow.Change
 	if flight.source == follow.SourceStore {
 		change = h.follower.HandleStoreOutcome(now, flight.call, flight.outcome)
 	} else {
@@ -184,15 +201,10 @@
 			h.replica.RemoveUnlisted(change.AllKeys, flight.outcome.Page.Revision)
 		}
 	}
-	for _, object := range change.Objects {
-		h.apply(now, object)
-	}
-	if change.AllKeys != nil {
-		h.directory.RemoveUnlisted(now, change.AllKeys)
-	}
 	if change.Complete {
 		h.replica.MarkComplete(h.follower.Era(), h.follower.Revision(), h.follower.CompleteAsOf())
 	}
+	return change, true
 }
 
 func (h *modelHost) apply(now time.Duration, object objects.Object) {
