--- a/internal/coordination/steer/selection.go
+++ b/internal/coordination/steer/selection.go
@@ -23,19 +23,18 @@
 			continue
 		}
 		c := candidate{target: target, record: r, cost: cost(now, target, r)}
+		limited := r.slowStart(now, target) && !e.ownsSlowStart(now, target, r)
 		switch {
+		case limited && e.shares != nil:
+			// Without a share a target in its slow start gets nothing.
 		case r.avoided(now):
 			fallback = choose(fallback, c)
-		case r.slowStart(now, target) && !e.ownsSlowStart(now, target, r):
+		case limited:
 			slow = choose(slow, c)
 		default:
 			best = choose(best, c)
 		}
 	}
-	if e.shares != nil {
-		// Without a share a target in its slow start gets nothing.
-		slow = candidate{}
-	}
 	for _, next := range []candidate{slow, fallback} {
 		if best.target == nil {
 			best = next
--- a/internal/edge/peerserver.go
+++ b/internal/edge/peerserver.go
@@ -43,7 +43,8 @@
 	arbiter  *overload.Arbiter
 	// pollerRetention is how long a host that stopped polling still counts as a poller.
 	pollerRetention time.Duration
-	hosts           *hostlist.List
+	// hosts is what is known of the other hosts.
+	hosts *hostlist.List
 	// graceUntil is the end of the grace period in which a missing entry does not prove
 	// that its target is gone: the entry may have expired while the store was unavailable.
 	graceUntil time.Duration
