Follow rejections alone once new flows are limited

A window of 24 answers from 120 targets shows a domain with room in the middle of an overload, and the limit rose by 1.4 each time. Ruled out: never asking for room, which refuses 508 flows of the uneven load in TestUnevenLoadIsServedWithoutRefusals; asking unless a quarter is rejected, 422. Change: room is asked for only to begin a limit where rejections are used.

--- a/internal/coordination/shed/adjust.go
+++ b/internal/coordination/shed/adjust.go
@@ -46,15 +46,15 @@
 }
 
 // gradient returns the factor by which a window changes the limit: to where the mean time
-// in the queue is heldQueueShare and heldRejectedShare of the requests are rejected. While a
-// domain has room the limit rises.
+// in the queue is heldQueueShare and, with UseRejections, heldRejectedShare of the first
+// requests are rejected. Without, the limit rises while a domain has room.
 func (l *Limiter) gradient(m measurement) float64 {
 	gradient := m.allowedWait / m.wait.Seconds()
 	switch {
-	case l.spread.hasRoom():
-		return maxGradient
 	case l.UseRejections:
 		gradient = min(gradient, l.newFlows.gradient())
+	case l.spread.hasRoom():
+		return maxGradient
 	}
 	return min(max(gradient, minGradient), maxGradient)
 }
