Rank only priorities that have a part in the requests

Cause: one request of a route with priority 0, a probe's for instance, made every other priority less important for the life of the process: deposits (priority 1 of 1 and 2) got three quarters of an overload's limit, and as third rank nothing of what is reserved for the most important ones. Change: a priority counts once it has 2 % of the answers lately.

--- a/internal/coordination/shed/adjust.go
+++ b/internal/coordination/shed/adjust.go
@@ -7,6 +7,9 @@
 	if m.queueShare <= heldQueueShare {
 		l.queueSince = now
 	}
+	for _, c := range l.classes {
+		c.recordPart(m.answers)
+	}
 	wasLimiting := l.limiting
 	switch {
 	case l.limiting:
--- a/internal/coordination/shed/class.go
+++ b/internal/coordination/shed/class.go
@@ -2,9 +2,19 @@
 
 import "time"
 
+const (
+	// activePart is the part of the answers from which a class counts when priorities are
+	// compared: a route that is hardly used makes no other one less important.
+	activePart = 0.02
+	// partWeight is the weight of one window in a class's part of the answers.
+	partWeight = 0.1
+)
+
 // class is what was observed of the routes of one priority.
 type class struct {
-	priority  int
+	priority int
+	// part is the part of all answers that were those of the class, lately.
+	part      float64
 	objective time.Duration
 	baseline  baseline
 	// window are the answers of this window, late the number of those later than the
@@ -60,3 +70,12 @@
 func (c *class) queueShare() float64 {
 	return float64(c.window.mean()-c.baseline.wait) / float64(c.objective)
 }
+
+// active reports whether the class has a part in the requests that counts.
+func (c *class) active() bool { return c.part >= activePart }
+
+// recordPart moves the part of the class towards that in a window of answers.
+func (c *class) recordPart(answers int) {
+	part := float64(c.window.count) / float64(answers)
+	c.part += partWeight * (part - c.part)
+}
--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -178,19 +178,34 @@
 // limitOf returns the number of requests in flight from which new flows with a priority
 // are refused.
 func (l *Limiter) limitOf(priority int) float64 {
-	last := len(l.classes) - 1
+	rank, last := l.rank(priority)
 	if last < 1 {
 		return l.limit
 	}
-	rank, _ := l.find(priority)
 	return l.limit * (1 - (1-leastImportantLimit)*float64(min(rank, last))/float64(last))
 }
 
+// rank returns the number of active classes that are more important than a priority, and
+// the highest such number among the active classes.
+func (l *Limiter) rank(priority int) (rank, last int) {
+	active := 0
+	for _, c := range l.classes {
+		if !c.active() {
+			continue
+		}
+		active++
+		if c.priority < priority {
+			rank++
+		}
+	}
+	return rank, active - 1
+}
+
 // takeReserved uses one of the flows reserved above the limit. The most important routes
 // may use all of them, others only those beyond the first half.
 func (l *Limiter) takeReserved(priority int) bool {
 	needed := 1.0
-	if rank, _ := l.find(priority); rank > 0 {
+	if rank, _ := l.rank(priority); rank > 0 {
 		needed += maxReserved / 2
 	}
 	if l.reserved < needed {
@@ -257,7 +272,7 @@
 	return l.classes[i]
 }
 
-// find returns the rank of a priority among the classes, and whether there is such a class.
-func (l *Limiter) find(priority int) (rank int, found bool) {
+// find returns the index of a priority among the classes, and whether there is such a class.
+func (l *Limiter) find(priority int) (index int, found bool) {
 	return slices.BinarySearchFunc(l.classes, priority, func(c *class, p int) int { return c.priority - p })
 }
