Reserve slots for the most important new flows in an overload

Cause: with rejections as a sign of overload the limit is one of new flows, and open flows that nobody can refuse hold it at its minimum. Change: one new flow of the most important priority goes on above the limit for every two executed answers of less important requests.

--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -57,6 +57,8 @@
 	leastImportantLimit = 0.5
 	// reservedShare is the number of new flows admitted above the limit for each answer, so
 	// that requests on open flows don't take all slots; maxReserved bounds those saved up.
+	// With Limiter.UseRejections only the answers to executed requests count that are less
+	// important than the new flows for which slots are reserved.
 	reservedShare = 0.5
 	maxReserved   = 2
 	// calmWindows is the number of consecutive windows without a queue and without a refusal
@@ -169,10 +171,11 @@
 
 // belowLimit reports whether the limit leaves room for a new flow with a priority.
 func (l *Limiter) belowLimit(priority int) bool {
+	inFlight := l.inFlight
 	if l.UseRejections {
-		return float64(l.newFlows.inFlight) < l.limitOf(priority)
+		inFlight = l.newFlows.inFlight
 	}
-	return float64(l.inFlight) < l.limitOf(priority) || l.takeReserved(priority)
+	return float64(inFlight) < l.limitOf(priority) || l.takeReserved(priority)
 }
 
 // limitOf returns the number of requests in flight from which new flows with a priority
@@ -201,11 +204,29 @@
 	return rank, active - 1
 }
 
+// reserve adds to the flows reserved above the limit for an answer of a class.
+func (l *Limiter) reserve(c *class, a Answer) {
+	if l.UseRejections && (c.rejects(a) || l.mostImportant(c.priority)) {
+		return
+	}
+	l.reserved = min(l.reserved+reservedShare, maxReserved)
+}
+
+// mostImportant reports whether no active class is more important than a priority.
+func (l *Limiter) mostImportant(priority int) bool {
+	rank, _ := l.rank(priority)
+	return rank == 0
+}
+
 // takeReserved uses one of the flows reserved above the limit. The most important routes
-// may use all of them, others only those beyond the first half.
+// may use all of them. Others may use those beyond the first half, or none with
+// UseRejections.
 func (l *Limiter) takeReserved(priority int) bool {
 	needed := 1.0
-	if rank, _ := l.rank(priority); rank > 0 {
+	if !l.mostImportant(priority) {
+		if l.UseRejections {
+			return false
+		}
 		needed += maxReserved / 2
 	}
 	if l.reserved < needed {
@@ -223,9 +244,9 @@
 	if now-l.windowStart > maxWindow {
 		l.startWindow(now)
 	}
-	l.reserved = min(l.reserved+reservedShare, maxReserved)
 	l.waited += a.Took
 	c := l.class(a.Priority)
+	l.reserve(c, a)
 	c.record(a)
 	l.newFlows.record(a, c.rejects(a))
 	l.recordSource(c, a)
--- a/internal/coordination/shed/spread_test.go
+++ b/internal/coordination/shed/spread_test.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// newRejectionFixture returns a limiter that uses rejections from its start.
+func newRejectionFixture() *fixture {
+	f := new(fixture)
+	f.limiter.UseRejections = true
+	f.answer(usualWait, time.Second)
+	return f
+}
+
 func TestRejectionsAreAnOverload(t *testing.T) {
 	f := newFixture()
 	f.limiter.UseRejections = true
@@ -123,8 +131,7 @@
 }
 
 func TestLimitFollowsTheRejectionsOfNewFlows(t *testing.T) {
-	f := newFixture()
-	f.limiter.UseRejections = true
+	f := newRejectionFixture()
 	targets := newTargets("a", 4)
 	f.rejectShare(targets, 200, 2)
 	require.True(t, f.limiter.limiting)
@@ -137,3 +144,25 @@
 	f.limiter.AddNewFlow(1000)
 	require.False(t, f.limiter.Admit(important))
 }
+
+// Requests of open flows take all slots and their rejections hold the limit at its minimum:
+// the most important new flows are still admitted for some of the executed ones.
+func TestMostImportantFlowsKeepSlots(t *testing.T) {
+	f := newRejectionFixture()
+	f.answerOf(important, usualWait, time.Second)
+	f.answer(usualWait, time.Second)
+	f.limiter.limiting = true
+	f.limiter.AddNewFlow(1000)
+	admitted, refused := 0, 0
+	for range 100 {
+		f.answer(usualWait, answerInterval)
+		refused += 10 - f.admitted(10, unimportant)
+		admitted += f.admitted(10, important)
+	}
+	require.Equal(t, 1000, refused, "less important ones make way")
+	require.InDelta(t, 100*reservedShare, admitted, maxReserved)
+	for range 100 {
+		f.answerOf(important, usualWait, answerInterval)
+	}
+	require.LessOrEqual(t, f.admitted(10, important), maxReserved, "what they take themselves reserves nothing")
+}
