Begin a limit of new flows at the wait that is allowed

Cause: the limit began with the flows in flight of a window in which the queue stood already, and took several windows to come down from there. Change: as many as were executed, at the wait that the overload is held at.

--- a/internal/coordination/shed/adjust.go
+++ b/internal/coordination/shed/adjust.go
@@ -30,7 +30,7 @@
 // startLimit returns the limit at the start of an overload.
 func (l *Limiter) startLimit(m measurement) float64 {
 	if l.UseRejections {
-		return l.newFlows.startLimit(m.length)
+		return l.newFlows.startLimit(m.length, m.allowedWait)
 	}
 	return max(startFactor*l.baselineInFlight, minLimit)
 }
--- a/internal/coordination/shed/newflows.go
+++ b/internal/coordination/shed/newflows.go
@@ -39,9 +39,10 @@
 }
 
 // startLimit returns the limit of new flows in flight at the start of an overload: as many as
-// were executed in a window of the given length.
-func (f *newFlows) startLimit(length time.Duration) float64 {
-	inFlight := f.waited.Seconds() / length.Seconds()
+// were executed in a window of the given length would be, if none of them waited longer than
+// is allowed, in seconds.
+func (f *newFlows) startLimit(length time.Duration, allowedWait float64) float64 {
+	inFlight := min(f.waited.Seconds(), allowedWait*float64(f.answered)) / length.Seconds()
 	return max(inFlight*(1-f.rejectedShare()), minLimit)
 }
 
