Refuse new flows above the limit at once in place of letting them wait

Cause: a new flow that waits at the host for a slot (15 ms in a standing queue, three tries) takes it from a younger one that would be answered in time. Change: the queue of new flows goes. What it did for fairness a count of admitted flows by client does: a client address that has had far more than the others is admitted up to a part of the limit only.

--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -7,6 +7,7 @@
 package shed
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -114,6 +115,8 @@
 	queueSince time.Duration
 	// classes are the priorities seen, the most important first.
 	classes []*class
+	// accounts are those of the clients, with UseRejections.
+	accounts accounts
 }
 
 // Answer is an answered request.
@@ -136,8 +139,9 @@
 func (l *Limiter) AddInFlight(n int) { l.inFlight += n }
 
 // Expire ends an overload if there were too few answers to go by for maxWindow, and
-// returns the change or nil.
+// returns the change or nil. It must run once a second.
 func (l *Limiter) Expire(now time.Duration) *Change {
+	l.accounts.decay()
 	if !l.limiting || now-l.windowStart <= maxWindow {
 		return nil
 	}
@@ -160,22 +164,35 @@
 	}
 }
 
-// Admit decides about a new flow of a route with the given priority.
-func (l *Limiter) Admit(priority int) bool {
-	if !l.limiting || l.belowLimit(priority) {
-		return true
+// Admit decides about a client's new flow of a route with the given priority. One that is
+// not admitted is to be refused at once: a flow that waits here for a slot takes it from one
+// that would be answered in time.
+func (l *Limiter) Admit(priority int, client netip.Addr) bool {
+	if l.limiting && !l.belowLimit(priority, l.shareOf(client)) {
+		l.refused++
+		return false
+	}
+	if l.UseRejections {
+		l.accounts.record(client)
+	}
+	return true
+}
+
+// shareOf returns the part of the limit up to which flows of a client are admitted.
+func (l *Limiter) shareOf(client netip.Addr) float64 {
+	if !l.UseRejections {
+		return 1
 	}
-	l.refused++
-	return false
+	return l.accounts.share(client)
 }
 
-// belowLimit reports whether the limit leaves room for a new flow with a priority.
-func (l *Limiter) belowLimit(priority int) bool {
+// belowLimit reports whether a part of the limit leaves room for a new flow with a priority.
+func (l *Limiter) belowLimit(priority int, part float64) bool {
 	inFlight := l.inFlight
 	if l.UseRejections {
 		inFlight = l.newFlows.inFlight
 	}
-	return float64(inFlight) < l.limitOf(priority) || l.takeReserved(priority)
+	return float64(inFlight) < part*l.limitOf(priority) || part == 1 && l.takeReserved(priority)
 }
 
 // limitOf returns the number of requests in flight from which new flows with a priority
--- a/internal/coordination/shed/shed_test.go
+++ b/internal/coordination/shed/shed_test.go
@@ -52,8 +52,8 @@
 // admitted returns how many of n new flows are admitted, each in flight from then on.
 func (f *fixture) admitted(n, priority int) int {
 	count := 0
-	for range n {
-		if f.limiter.Admit(priority) {
+	for number := range n {
+		if f.limiter.Admit(priority, testClient(number)) {
 			f.limiter.AddInFlight(1)
 			count++
 		}
--- a/internal/coordination/shed/spread_test.go
+++ b/internal/coordination/shed/spread_test.go
@@ -140,9 +140,9 @@
 	f.rejectShare(targets, 100, 2)
 	require.Less(t, f.limiter.limit, 20.0, "half of the new flows are rejected")
 	f.limiter.AddInFlight(1000)
-	require.True(t, f.limiter.Admit(important), "requests on open flows don't count")
+	require.True(t, f.limiter.Admit(important, testClient(0)), "requests on open flows don't count")
 	f.limiter.AddNewFlow(1000)
-	require.False(t, f.limiter.Admit(important))
+	require.False(t, f.limiter.Admit(important, testClient(0)))
 }
 
 // Requests of open flows take all slots and their rejections hold the limit at its minimum:
--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -27,11 +27,6 @@
 	// resets are the verdicts to return from the next HandleDeadlines.
 	resets         []Verdict
 	unknownCookies unknownCookies
-	// synQueues are the SYNs that wait for a slot, waitingSYNs is their number. admitDue is set once one of them may be
-	// admitted.
-	synQueues   synQueues
-	waitingSYNs int
-	admitDue    bool
 	// handshakeTime is the HandshakeTime of the verdict on the current packet.
 	handshakeTime time.Duration
 	// shares are those of targets in their slow start, nil if they are not shared out.
@@ -48,7 +43,6 @@
 		targets:        newTargetTable(domain),
 		flows:          make(map[state.FlowKey]*flow),
 		pending:        make(map[state.FlowKey]*flow),
-		synQueues:      make(synQueues),
 		unknownCookies: unknownCookies{seen: make(map[catalog.Cookie]time.Duration)},
 	}
 }
@@ -229,7 +223,6 @@
 	retransmitted := f.retransmissions > 0
 	switch f.observe(now, p) {
 	case signalAnswered:
-		e.recordFreeSlot()
 		e.targets.recordAnswer(now, f.target)
 		if wasWaiting && !retransmitted {
 			e.recordAnswerTime(now, f)
@@ -284,8 +277,6 @@
 	if f == nil {
 		return
 	}
-	e.leaveQueue(f)
-	e.recordFreeSlot()
 	delete(e.flows, key)
 	delete(e.pending, key)
 	f.leaveLimiter()
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -76,10 +76,8 @@
 	// is when it was forwarded to the latest.
 	tried         []*targetRecord
 	lastAttemptAt time.Duration
-	// deadline is when the latest attempt times out. While queued is set, no attempt was made:
-	// the SYN waits for a slot, until the deadline.
+	// deadline is when the latest attempt times out.
 	deadline time.Duration
-	queued   bool
 }
 
 // seqAfter reports whether sequence number a follows b, with wrap-around.
--- a/internal/coordination/steer/simulation_test.go
+++ b/internal/coordination/steer/simulation_test.go
@@ -97,8 +97,6 @@
 	byCaller map[netip.Addr]*simOutcomes
 	// important are those of the requests to depositAddress, the more important route.
 	important simOutcomes
-	// waiting are the callers whose SYN waits at its host, by their address.
-	waiting map[netip.AddrPort]func(Verdict)
 	// refusals counts the refused SYNs of the whole run.
 	refusals int
 }
@@ -145,7 +143,6 @@
 	}
 	s.callerDomain = func() int { return s.random.IntN(size.domains) }
 	s.startHosts()
-	s.waiting = make(map[netip.AddrPort]func(Verdict))
 	s.after(simTick, s.tick)
 	return s
 }
@@ -195,7 +192,7 @@
 // tick runs the due work of all hosts. No SYN is lost, so none is due for a retry.
 func (s *simulation) tick() {
 	s.eachHost(func(host *Engine) {
-		s.settle(host)
+		host.HandleDeadlines(s.now, nil)
 		for _, check := range host.DrainChecks() {
 			host.RecordCheck(s.now, check.Target, CheckPassed)
 		}
@@ -203,16 +200,6 @@
 	s.after(simTick, s.tick)
 }
 
-// settle handles the deadlines of a host and has the SYNs that waited there go on.
-func (s *simulation) settle(host *Engine) {
-	for _, verdict := range host.HandleDeadlines(s.now, nil) {
-		if waiting := s.waiting[verdict.Client]; waiting != nil {
-			delete(s.waiting, verdict.Client)
-			waiting(verdict)
-		}
-	}
-}
-
 // arrivals calls send at random times, rate times a second on average, until end.
 func (s *simulation) arrivals(rate float64, end time.Duration, send func()) {
 	wait := time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
@@ -252,10 +239,6 @@
 	syn := f.packet
 	syn.SYN = true
 	verdict := f.host.HandlePacket(s.now, &syn)
-	if verdict.Reason == ReasonWaiting {
-		s.waiting[f.packet.Client] = func(verdict Verdict) { f.opened(verdict, then) }
-		return
-	}
 	f.opened(verdict, then)
 }
 
@@ -312,10 +295,7 @@
 	}
 	p := f.packet
 	delay := time.Duration(f.sim.random.IntN(2)) * simDelayedACK
-	f.sim.after(delay, func() {
-		f.send(p)
-		f.sim.settle(f.host)
-	})
+	f.sim.after(delay, func() { f.send(p) })
 }
 
 // close closes the flow after its last acknowledgement.
--- a/internal/coordination/steer/sweep.go
+++ b/internal/coordination/steer/sweep.go
@@ -31,7 +31,6 @@
 	e.expireOverloads(now)
 	e.targets.limiters.evictUnused(e.view)
 	e.targets.evictUnusedEstimates(e.view)
-	e.sweepQueues()
 	if e.shares != nil {
 		e.shares.Forget(e.knows)
 	}
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -31,7 +31,10 @@
 	if p.Retransmitted() {
 		return e.placeSYN(now, f, ReasonPlaced)
 	}
-	return e.admitSYN(now, route, f)
+	if !e.targets.limiters.of(f.pending.pool.ID).Admit(route.Priority, p.Client.Addr()) {
+		return refuse(f, ReasonOverloaded)
+	}
+	return e.placeSYN(now, f, ReasonPlaced)
 }
 
 // placeSYN forwards a SYN for the first time and tracks its flow.
@@ -142,7 +145,7 @@
 // NextDeadline returns when HandleDeadlines must run next, 0 for at once; ok is false
 // if nothing is pending.
 func (e *Engine) NextDeadline() (at time.Duration, ok bool) {
-	if len(e.resets) > 0 || e.admitDue {
+	if len(e.resets) > 0 {
 		return 0, true
 	}
 	at, ok = e.targets.nextRecheck()
@@ -159,16 +162,11 @@
 // resets to verdicts. Call it only after all packets that have arrived were passed to
 // HandlePacket.
 func (e *Engine) HandleDeadlines(now time.Duration, verdicts []Verdict) []Verdict {
-	verdicts = e.admitWaiting(now, verdicts)
 	for key, f := range e.pending {
 		s := f.pending
 		if now < s.deadline {
 			continue
 		}
-		if s.queued {
-			verdicts = append(verdicts, e.expireWaiting(f))
-			continue
-		}
 		if now-s.startedAt > clientConnectTimeout {
 			e.removeFlow(key)
 			continue
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -74,9 +74,6 @@
 	// ReasonSlowStart resets a new flow because all targets that could take it are in their
 	// slow start and this host has no share left.
 	ReasonSlowStart Reason = "slow_start"
-	// ReasonWaiting holds a new SYN until a request in flight ends, since the targets have
-	// a standing queue.
-	ReasonWaiting Reason = "waiting"
 	// ReasonOverloaded resets a new flow because the targets have a standing queue.
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonUnknownCookie drops a packet whose target is not known here but may be known
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -48,7 +48,7 @@
 var countedReasons = []steer.Reason{
 	steer.ReasonEstablished, steer.ReasonPlaced, steer.ReasonRetried, steer.ReasonAlreadyOpen, steer.ReasonNotReady,
 	steer.ReasonNoRoute, steer.ReasonNoTarget, steer.ReasonUnknownCookie, steer.ReasonTargetSilent,
-	steer.ReasonTargetRestarted, steer.ReasonTargetUnknown, steer.ReasonOverloaded, steer.ReasonWaiting, steer.ReasonUnreachable, steer.ReasonSlowStart, steer.ReasonDomainDrained,
+	steer.ReasonTargetRestarted, steer.ReasonTargetUnknown, steer.ReasonOverloaded, steer.ReasonUnreachable, steer.ReasonSlowStart, steer.ReasonDomainDrained,
 }
 
 func newHostMetrics() *hostMetrics {
