Place by estimates and limit by rejections whatever the number of targets

Cause: balance.estimate_from = 64 was the boundary between two customers and the others, and no property of their load. An operator may still set it.

--- a/internal/coordination/steer/simulation_test.go
+++ b/internal/coordination/steer/simulation_test.go
@@ -164,7 +164,7 @@
 }
 
 // simEstimateFrom is the number of targets from which the simulated hosts use estimates.
-const simEstimateFrom = 64
+const simEstimateFrom = 1
 
 // eachHost calls do for each host.
 func (s *simulation) eachHost(do func(*Engine)) {
--- a/internal/protocol/edgesettings/describe.go
+++ b/internal/protocol/edgesettings/describe.go
@@ -13,7 +13,7 @@
 	DefaultDrainBound    = 3 * time.Second
 	DefaultLeaveDeadline = 5 * time.Second
 	DefaultMaxFlowAge    = time.Minute
-	DefaultEstimateFrom  = 0
+	DefaultEstimateFrom  = 1
 	DefaultLogLevel      = "info"
 	DefaultLogRate       = 40
 )
@@ -66,7 +66,7 @@
 		{Name: "bounds.max_flow_age", Form: formDuration, Default: DefaultMaxFlowAge.String(), Range: tomldoc.InclusiveRange(minMaxFlowAge, maxMaxFlowAge), Meaning: "Age that the oldest open flow may reach; a target that has left is remembered for at least this long."},
 		{Name: "slow_start.overage", Form: formNumber, Default: "0", Range: rangeSlowStart, Meaning: "Factor of a target's limit in its slow start that all hosts together may send it in any second. 0 keeps new flows away from such targets while another can take them."},
 		{Name: "slow_start.slack", Form: formNumber, Default: "0", Range: rangeSlowStart, Meaning: "Requests beyond that; 2 are needed at least."},
-		{Name: "balance.estimate_from", Form: "number of targets", Default: strconv.Itoa(DefaultEstimateFrom), Range: tomldoc.InclusiveRange(minEstimateFrom, maxEstimateFrom), Meaning: "Number of targets of a pool from which new flows are placed by estimates of the targets' queues, and wait for a short time in an overload. 0 is never."},
+		{Name: "balance.estimate_from", Form: "number of targets", Default: strconv.Itoa(DefaultEstimateFrom), Range: tomldoc.InclusiveRange(minEstimateFrom, maxEstimateFrom), Meaning: "Number of targets of a pool from which new flows are placed by estimates of the targets' queues, and limited by rejections in an overload. 0 is never."},
 		{Name: "log.level", Form: "choice", Default: DefaultLogLevel, Range: "debug, info, warn or error", Meaning: "Lowest level that is logged. Takes effect at SIGHUP."},
 		{Name: "log.lines_per_second", Form: "count per second", Default: strconv.Itoa(DefaultLogRate), Range: tomldoc.InclusiveRange(minLogRate, maxLogRate), Meaning: "Largest number of lines per second with the same message; further lines are dropped and their number is logged."},
 	}
--- a/internal/protocol/edgesettings/settings_test.go
+++ b/internal/protocol/edgesettings/settings_test.go
@@ -36,7 +36,7 @@
 		Seeds:        []netip.AddrPort{netip.MustParseAddrPort("10.1.0.11:8166"), netip.MustParseAddrPort("10.2.0.10:8166")},
 		StoreAddress: netip.MustParseAddrPort("10.200.1.7:8169"),
 		ChangeBound:  3 * time.Second, DrainBound: 3 * time.Second, LeaveDeadline: 5 * time.Second,
-		MaxFlowAge: time.Minute, LogLevel: slog.LevelInfo, LogRate: 40,
+		MaxFlowAge: time.Minute, EstimateFrom: DefaultEstimateFrom, LogLevel: slog.LevelInfo, LogRate: 40,
 	}, settings)
 }
 
