Take a few answers of a failure domain for no proof that it is full

Ruled out: a longer window for all, which would find an overload later. Change: a domain is judged once four of its targets have answered, or all that it has; until then its answers are collected over up to eight windows and it counts as one with room.

--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/guavawharf/guavawharf/internal/state"
 )
 
 const (
@@ -32,9 +34,6 @@
 	crowdFactor     = 5
 	crowdSlack      = 8
 	crowdQueueShare = 0.25
-	// maxQueuedTargets is the fraction of a failure domain's targets with a queue below which
-	// the domain has room.
-	maxQueuedTargets = 0.5
 	// maxRejectedShare is the fraction of rejected requests above which the targets are
 	// overloaded, heldRejectedShare the one at which an overload is held. Both apply only if
 	// Limiter.UseRejections is set.
@@ -92,8 +91,7 @@
 	UseRejections bool
 	windowStart   time.Duration
 	newFlows      newFlows
-	// window numbers the windows, spread counts the targets that answered in this one.
-	window uint64
+	// spread counts the targets that answered in this window.
 	spread spread
 	// waited is the sum of the times to all answers of this window.
 	waited time.Duration
@@ -281,13 +279,21 @@
 	if a.Source == nil {
 		return
 	}
+	queue := time.Duration(crowdQueueShare * float64(a.Objective))
+	l.counts().record(a.Source, c.rejects(a) || c.baseline.ready() && a.Took > c.baseline.wait+queue)
+}
+
+// counts returns the counts of the failure domains.
+func (l *Limiter) counts() spread {
 	if l.spread == nil {
 		l.spread = make(spread)
 	}
-	queue := time.Duration(crowdQueueShare * float64(a.Objective))
-	l.spread.record(l.window, a.Source, c.rejects(a) || c.baseline.ready() && a.Took > c.baseline.wait+queue)
+	return l.spread
 }
 
+// SetTargets sets the number of targets that take new flows in each failure domain.
+func (l *Limiter) SetTargets(targets map[state.DomainID]int) { l.counts().setTargets(targets) }
+
 // Queue returns the time of an answer beyond the usual one, in units of the usual one. The
 // result is false before that is known.
 func (l *Limiter) Queue(a Answer) (float64, bool) {
--- a/internal/coordination/shed/spread_test.go
+++ b/internal/coordination/shed/spread_test.go
@@ -166,3 +166,23 @@
 	}
 	require.LessOrEqual(t, f.admitted(10, important), maxReserved, "what they take themselves reserves nothing")
 }
+
+// A domain of which only one or two targets have answered, both slow ones, may have room. Once
+// enough of them have, it is known to have none.
+func TestFewAnswersOfADomainAreNoProof(t *testing.T) {
+	f := newFixture()
+	local, remote := newTargets("a", 10), newTargets("b", 10)
+	f.limiter.SetTargets(map[state.DomainID]int{"a": 10, "b": 10})
+	f.answerAs(append(local, remote[:2]...), 60, slowTargets(12))
+	require.Empty(t, f.changes)
+	f.answerAs(append(local, remote[:minJudgedTargets]...), 60, slowTargets(14))
+	require.Len(t, f.changes, 1)
+}
+
+// A domain with fewer targets is judged by all that it has.
+func TestSmallDomainIsJudgedByItsTargets(t *testing.T) {
+	f := newFixture()
+	f.limiter.SetTargets(map[state.DomainID]int{"a": 2})
+	f.answerAs(newTargets("a", 2), 400, slowTargets(2))
+	require.Len(t, f.changes, 1)
+}
--- a/internal/coordination/shed/window.go
+++ b/internal/coordination/shed/window.go
@@ -60,6 +60,5 @@
 		c.short = 0
 	}
 	l.newFlows.startWindow()
-	l.window++
-	l.spread.reset()
+	l.spread.endWindow()
 }
