Learn the size of rejections from the answers without a queue

Cause: a rejection was an answer of 200 bytes or less, which holds for today's targets. Nothing is assumed; a minority of callers can't shift it.

--- a/internal/coordination/shed/adjust.go
+++ b/internal/coordination/shed/adjust.go
@@ -86,7 +86,7 @@
 	for _, c := range l.classes {
 		if c.window.count > 0 {
 			c.baseline.approach(c.window.mean())
-			c.learnShortAnswers()
+			c.learnSizes()
 		}
 	}
 	if l.baselineInFlight == 0 {
--- a/internal/coordination/shed/class.go
+++ b/internal/coordination/shed/class.go
@@ -1,6 +1,9 @@
 package shed
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// activePart is the part of the answers from which a class counts when priorities are
@@ -21,40 +24,48 @@
 	// objective.
 	window waits
 	late   int
-	// rejected is the number of rejections in this window, short the number of answers that
-	// look like one. shortAnswersUsual is set if answers without a queue look like that, too.
-	rejected          int
-	short             int
-	shortAnswersUsual bool
+	// rejected is the number of rejections in this window.
+	rejected int
+	// sizes tell rejections from answers, windowSizes are the sizes in this window.
+	sizes       sizes
+	windowSizes []uint32
 }
 
-// maxShortShare is the fraction of answers in a window without a queue that look like
-// rejections above which such answers are usual.
+// maxShortShare is the fraction of short answers in a window without a queue above which they
+// are no rejections: answers have become shorter.
 const maxShortShare = 0.25
 
-// rejects reports whether an answer is a rejection: it is short, and short answers are not
-// usual.
-func (c *class) rejects(a Answer) bool { return a.Short && !c.shortAnswersUsual }
+// rejects reports whether an answer is a rejection.
+func (c *class) rejects(a Answer) bool { return c.sizes.rejection(a.Size) }
 
-// learnFirst adds an answer to the first baseline.
-func (c *class) learnFirst(a Answer) {
-	c.baseline.learnFirst(a.Took)
-	c.shortAnswersUsual = float64(c.short) > maxShortShare*float64(c.baseline.first.count)
+// learnSizes learns from a window without a queue how long answers are.
+func (c *class) learnSizes() {
+	if float64(c.rejected) <= maxShortShare*float64(len(c.windowSizes)) {
+		c.windowSizes = slices.DeleteFunc(c.windowSizes, c.sizes.rejection)
+	}
+	c.sizes.learn(c.windowSizes)
+	c.windowSizes = c.windowSizes[:0]
 }
 
-// learnShortAnswers learns from a window without a queue whether short answers are usual.
-func (c *class) learnShortAnswers() {
-	c.shortAnswersUsual = float64(c.short) > maxShortShare*float64(c.window.count)
+// startWindow begins a window.
+func (c *class) startWindow() {
+	c.window = waits{}
+	c.late = 0
+	c.rejected = 0
+	c.windowSizes = c.windowSizes[:0]
 }
 
 // record adds an answer to the window, or to the first baseline.
 func (c *class) record(a Answer) {
 	c.objective = a.Objective
-	if a.Short {
-		c.short++
+	if a.Size > 0 && len(c.windowSizes) < keptSizes {
+		c.windowSizes = append(c.windowSizes, a.Size)
 	}
 	if !c.baseline.ready() {
-		c.learnFirst(a)
+		c.baseline.learnFirst(a.Took)
+		if c.baseline.ready() {
+			c.learnSizes()
+		}
 		return
 	}
 	c.window.add(a.Took)
--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -125,8 +125,9 @@
 	// for the most important.
 	Objective time.Duration
 	Priority  int
-	// Short is set if the answer is as short as a rejection.
-	Short bool
+	// Size is the number of bytes in the first packet of the answer that the client has
+	// acknowledged, 0 if it is not known.
+	Size uint32
 	// First is set for the first request of a new flow.
 	First bool
 	// Source is the target's, nil if it is not known.
--- a/internal/coordination/shed/window.go
+++ b/internal/coordination/shed/window.go
@@ -54,10 +54,7 @@
 	l.refused = 0
 	l.waited = 0
 	for _, c := range l.classes {
-		c.window = waits{}
-		c.late = 0
-		c.rejected = 0
-		c.short = 0
+		c.startWindow()
 	}
 	l.newFlows.startWindow()
 	l.spread.endWindow()
--- a/internal/coordination/steer/estimates.go
+++ b/internal/coordination/steer/estimates.go
@@ -9,10 +9,6 @@
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
 
-// maxRejectionSize is the largest size of a target's rejection in bytes: the head of an
-// error response without a body. The answer to an executed request is longer.
-const maxRejectionSize = 200
-
 // maxDomainNoise is the largest random amount, in either direction, that a decision adds to
 // the estimates of one failure domain's targets, as a fraction of the domain's mean queue.
 // Hosts that know the same figures so don't all select the same domain.
--- a/internal/coordination/steer/shedding.go
+++ b/internal/coordination/steer/shedding.go
@@ -68,7 +68,7 @@
 		Objective: f.objective,
 		Priority:  f.priority,
 		First:     f.isNew(),
-		Short:     f.answerSize > 0 && f.answerSize <= maxRejectionSize,
+		Size:      f.answerSize,
 		Source:    &f.target.source,
 	}
 	if queue, known := limiter.Queue(answer); known {
