Count the decisions that later events show to be wrong

Cause: nothing told an operator, or us, which decision doesn't fit the work. Change: package outcomes; counters guava_decisions_total and guava_decisions_wrong_total for placing (late or rejected while another target of the pool had a free slot), retrying a SYN (an earlier target had answered), refusing (no queue and no rejection meanwhile) and suspecting (the target answered the check). Nothing is decided by them.

--- a/internal/coordination/shed/adjust.go
+++ b/internal/coordination/shed/adjust.go
@@ -10,6 +10,7 @@
 	for _, c := range l.classes {
 		c.recordPart(m.answers)
 	}
+	l.recordRefusals(m)
 	wasLimiting := l.limiting
 	switch {
 	case l.limiting:
--- a/internal/coordination/shed/shed.go
+++ b/internal/coordination/shed/shed.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/outcomes"
 	"github.com/guavawharf/guavawharf/internal/state"
 )
 
@@ -105,8 +106,10 @@
 	limit    float64
 	// reserved is the number of new flows that may be admitted above the limit.
 	reserved float64
-	// refused is the number of new flows refused in this window.
-	refused int
+	// refused is the number of new flows refused in this window, refusals counts those of the
+	// windows before.
+	refused  int
+	refusals outcomes.Count
 	// calm is the number of consecutive windows without a queue and without a refusal;
 	// queueSince is when the last window without a queue ended.
 	calm       int
@@ -284,6 +287,23 @@
 	l.counts().record(a.Source, c.rejects(a) || c.baseline.ready() && a.Took > c.baseline.wait+queue)
 }
 
+// DrainRefusals returns the count of refused flows since the last call, without those of the
+// current window.
+func (l *Limiter) DrainRefusals() outcomes.Count {
+	refusals := l.refusals
+	l.refusals = outcomes.Count{}
+	return refusals
+}
+
+// recordRefusals counts the flows refused in a window.
+func (l *Limiter) recordRefusals(m measurement) {
+	refused := uint64(l.refused)
+	l.refusals.Made += refused
+	if m.queueShare <= calmQueueShare && m.rejectedShare == 0 {
+		l.refusals.Wrong += refused
+	}
+}
+
 // counts returns the counts of the failure domains.
 func (l *Limiter) counts() spread {
 	if l.spread == nil {
--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/outcomes"
 	"github.com/guavawharf/guavawharf/internal/coordination/slowstart"
 	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
@@ -31,6 +32,8 @@
 	handshakeTime time.Duration
 	// shares are those of targets in their slow start, nil if they are not shared out.
 	shares *slowstart.Shares
+	// account counts the decisions and which of them were wrong.
+	account outcomes.Account
 	// estimateFrom is the number of targets of a pool from which its new flows are placed by
 	// estimates, 0 for never.
 	estimateFrom int
@@ -99,7 +102,11 @@
 // RecordCheck records the result of a check.
 func (e *Engine) RecordCheck(now time.Duration, target catalog.TargetID, outcome CheckOutcome) {
 	r := e.targets.byID[target]
-	if r != nil && e.targets.recordCheck(now, r, outcome) {
+	if r == nil {
+		return
+	}
+	e.recordSuspicion(r, outcome)
+	if e.targets.recordCheck(now, r, outcome) {
 		e.resetStuckFlows(now, r)
 	}
 }
@@ -270,9 +277,11 @@
 func (e *Engine) recordSYNAnswer(now time.Duration, s *pendingSYN, r *targetRecord) {
 	e.targets.recordAnswer(now, r)
 	e.handshakeTime = now - s.startedAt
-	if s.tried[len(s.tried)-1] == r {
-		r.handshakeRTT.add(now - s.lastAttemptAt)
+	if s.tried[len(s.tried)-1] != r {
+		e.account.Wrong(outcomes.Retrying)
+		return
 	}
+	r.handshakeRTT.add(now - s.lastAttemptAt)
 }
 
 // removeFlow stops tracking a flow and releases its share of the load counts.
--- a/internal/coordination/steer/shedding.go
+++ b/internal/coordination/steer/shedding.go
@@ -72,7 +72,9 @@
 		Source:    &f.target.source,
 	}
 	if queue, known := limiter.Queue(answer); known {
-		f.target.recordEstimate(now, queue, limiter.Rejects(answer))
+		rejected := limiter.Rejects(answer)
+		f.target.recordEstimate(now, queue, rejected)
+		e.recordPlacing(now, f, answer, queue, rejected)
 	}
 	e.addOverloadChange(f.target.pool, limiter.RecordAnswer(now, answer))
 }
--- a/internal/coordination/steer/sweep.go
+++ b/internal/coordination/steer/sweep.go
@@ -28,12 +28,14 @@
 		}
 	}
 	e.targets.evictUnused(e.knows)
+	e.recordRefusals()
 	e.expireOverloads(now)
 	e.targets.limiters.evictUnused(e.view)
 	e.targets.evictUnusedEstimates(e.view)
 	if e.shares != nil {
 		e.shares.Forget(e.knows)
 	}
+	maps.DeleteFunc(e.targets.free, func(pool catalog.PoolID, _ *freeTargets) bool { return e.view.Pools[pool] == nil })
 	maps.DeleteFunc(e.targets.reaches, func(pool catalog.PoolID, _ *reach) bool { return e.view.Pools[pool] == nil })
 	e.unknownCookies.sweep(now)
 }
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/outcomes"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
 
@@ -69,6 +70,7 @@
 	s := f.pending
 	n := len(s.tried)
 	if n > 0 {
+		e.account.Made(outcomes.Retrying)
 		e.targets.reaches.of(s.pool.ID).unanswered++
 	}
 	if n > 0 && n <= maxSuspectedAttempts {
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/estimate"
+	"github.com/guavawharf/guavawharf/internal/coordination/outcomes"
 	"github.com/guavawharf/guavawharf/internal/coordination/shed"
 	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
@@ -21,6 +22,8 @@
 	domain     state.DomainID
 	pool       catalog.PoolID
 	limiter    *shed.Limiter
+	// free are the targets of the pool that last answered without a queue.
+	free *freeTargets
 	// source is what the limiter keeps of the target.
 	source shed.Source
 	// estimate is that of the queue at the target, domainEstimate that of its failure domain.
@@ -117,6 +120,9 @@
 // reported by another host.
 func (r *targetRecord) avoided(now time.Duration) bool { return r.down || now < r.avoidUntil }
 
+// freeTargets are the targets of one pool that last answered without a queue.
+type freeTargets = outcomes.FreeTargets[*targetRecord]
+
 // neverDown is the time since which a target is up that was never down: long before any
 // slow start.
 const neverDown = -time.Hour
@@ -138,6 +144,7 @@
 	totalLoad loadTracker
 	alarms    alarms
 	limiters  limiters
+	free      map[catalog.PoolID]*freeTargets
 	// estimates are those of the failure domains, by pool.
 	estimates map[catalog.PoolID]estimates
 	// selections counts the targets selected for new flows.
@@ -157,6 +164,7 @@
 		localDomain: localDomain,
 		byID:        make(map[catalog.TargetID]*targetRecord),
 		limiters:    make(limiters),
+		free:        make(map[catalog.PoolID]*freeTargets),
 		estimates:   make(map[catalog.PoolID]estimates),
 		reaches:     make(reaches),
 	}
@@ -178,6 +186,7 @@
 			domain:         target.Domain,
 			pool:           target.Pool,
 			limiter:        t.limiters.of(target.Pool),
+			free:           t.freeTargets(target.Pool),
 			local:          target.Domain == t.localDomain,
 			startedAt:      target.StartMillis,
 			upSince:        neverDown,
@@ -191,6 +200,16 @@
 	return r
 }
 
+// freeTargets returns the targets of a pool that last answered without a queue.
+func (t *targetTable) freeTargets(pool catalog.PoolID) *freeTargets {
+	free := t.free[pool]
+	if free == nil {
+		free = new(freeTargets)
+		t.free[pool] = free
+	}
+	return free
+}
+
 // domainEstimate returns the estimate of a target's pool in its failure domain.
 func (t *targetTable) domainEstimate(target *catalog.Target) *domainEstimate {
 	pool := t.estimates[target.Pool]
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/guavawharf/guavawharf/internal/coordination/outcomes"
 	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
@@ -84,6 +85,15 @@
 	}
 }
 
+// countDecisions counts decisions and those of them that were wrong.
+func (m *hostMetrics) countDecisions(counts map[outcomes.Decision]outcomes.Count) {
+	for decision, count := range counts {
+		label := `{decision="` + string(decision) + `"}`
+		m.set.GetOrCreateCounter("guava_decisions_total" + label).AddInt64(int64(count.Made))
+		m.set.GetOrCreateCounter("guava_decisions_wrong_total" + label).AddInt64(int64(count.Wrong))
+	}
+}
+
 // observeStoreCall records the duration of a call to the store by kind and result.
 func (m *hostMetrics) observeStoreCall(kind string, outcome objects.Outcome, took time.Duration) {
 	name := `guava_store_call_seconds{kind="` + kind + `",result="` + outcome.Result.String() + `"}`
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -270,6 +270,7 @@
 			t.edge.control.reporter.reportDown(change.ID)
 		}
 	}
+	t.edge.metrics.countDecisions(t.engine.DrainOutcomes())
 	for _, change := range t.engine.DrainOverloadChanges() {
 		t.edge.logOverloadChange(change)
 	}
