--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,7 +77,7 @@
 func TestSoak(t *testing.T) {
 	for _, seed := range seedsToRun() {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			b := newTestbed(t, seed)
+			b := newTestbed(t, seed, guavaedgePath)
 			b.run(*length)
 			b.clearFaults()
 			b.requireNoViolations()
@@ -89,7 +89,7 @@
 // The checks must report a wrong target, a wrong request and a second run. A check
 // that never fails would hide a violation in TestSoak.
 func TestChecksReportViolations(t *testing.T) {
-	b := newTestbed(t, 1)
+	b := newTestbed(t, 1, guavaedgePath)
 	b.checkAnswer("i-1", "r1", "i-2 r1")
 	b.checkAnswer("i-1", "r1", "i-1 r2")
 	b.checkRunsOnce("r1")
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -46,8 +46,10 @@
 
 // testbed is a stand-in for the platform with guavaedge hosts, targets and clients.
 type testbed struct {
-	t       *testing.T
-	seed    uint64
+	t    *testing.T
+	seed uint64
+	// builds are the paths of the programs that the hosts run in turn.
+	builds  []string
 	network *platformtest.Loopback
 	store   *platformtest.Store
 	server  *httptest.Server
@@ -92,6 +94,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	paused  bool
+	// builds are the paths of the programs that take turns, the next one first.
+	builds []string
 }
 
 // address returns an address of the testbed on the loopback network.
@@ -99,11 +103,13 @@
 	return b.network.Address(group, number, port)
 }
 
-func newTestbed(t *testing.T, seed uint64) *testbed {
+// newTestbed starts a testbed whose hosts run the given builds of guavaedge in turn, every
+// second host the second one first.
+func newTestbed(t *testing.T, seed uint64, builds ...string) *testbed {
 	network, err := platformtest.ClaimLoopback()
 	require.NoError(t, err)
 	b := &testbed{
-		t: t, seed: seed, network: network, store: platformtest.NewStore(), faults: make(map[string]int),
+		t: t, seed: seed, builds: builds, network: network, store: platformtest.NewStore(), faults: make(map[string]int),
 		runCounts: make(map[string]int), openingTargets: make(map[netip.AddrPort][]string),
 	}
 	b.server = httptest.NewServer(b.store)
@@ -165,6 +171,8 @@
 
 func (b *testbed) newHost(number byte) *host {
 	h := &host{address: b.address(1, number, packetPort), ready: b.address(1, number, readyPort)}
+	first := int(number) % len(b.builds)
+	h.builds = slices.Concat(b.builds[first:], b.builds[:first])
 	dir := b.t.TempDir()
 	h.config = filepath.Join(dir, "edge.toml")
 	settings := fmt.Sprintf("[host]\nid = \"edge-%d\"\ndomain = \"a\"\npackets = %q\nready = %q\nmetrics = %q\ncontrol = %q\n[peers]\nseeds = [%q, %q]\n[store]\naddress = %q\n[bounds]\nchange = %q\ndrain = %q\ndomain_drain = %q\nleave = \"3s\"\n",
@@ -181,7 +189,8 @@
 func (b *testbed) start(h *host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.process = exec.Command(guavaedgePath, "--config", h.config)
+	h.process = exec.Command(h.builds[0], "--config", h.config)
+	h.builds = append(h.builds[1:], h.builds[0])
 	h.process.Stdout, h.process.Stderr = h.log, h.log
 	require.NoError(b.t, h.process.Start())
 	h.paused = false
