Await the answers of a domain before new flows are refused

Cause, traced in 2 of 400 plays of TestUnevenLoadIsServedWithoutRefusals: a host that had sent nothing to the other failure domains in a window began a limit as soon as half of its own domain's targets had a queue, since a domain without any answer counted as full. Change: while there are signs of an overload, a domain of which too few targets have answered, none included, counts as one with room for up to four windows. A domain out of reach delays a limit by those windows.

--- a/internal/coordination/shed/adjust.go
+++ b/internal/coordination/shed/adjust.go
@@ -12,15 +12,16 @@
 	}
 	l.recordRefusals(m)
 	wasLimiting := l.limiting
+	overload := l.limiting || m.lateShare > maxLateShare || l.crowded(m) || l.rejecting(m)
 	switch {
 	case l.limiting:
 		l.adjust(m)
-	case l.spread.hasRoom():
-	case m.lateShare > maxLateShare, l.crowded(m), l.rejecting(m):
+	case overload && !l.spread.hasRoom():
 		l.limiting = true
 		l.calm = 0
 		l.limit = l.startLimit(m)
 	}
+	l.spread.endWindow(overload)
 	l.learnBaseline(now, m)
 	if wasLimiting == l.limiting {
 		return nil
--- a/internal/coordination/shed/spread.go
+++ b/internal/coordination/shed/spread.go
@@ -7,10 +7,11 @@
 	// the domain has room.
 	maxQueuedTargets = 0.5
 	// minJudgedTargets is the number of a domain's targets, or all of them, that must have
-	// answered for the domain to be judged: the first one or two may be just the slow ones.
-	// maxCarriedWindows is for how many windows their answers are collected.
+	// answered for the domain to be judged: the first one or two may be just the slow ones, and
+	// one of which none has answered may not have been tried. maxAwaitedWindows is for how many
+	// windows with signs of an overload their answers are awaited.
 	minJudgedTargets  = 4
-	maxCarriedWindows = 8
+	maxAwaitedWindows = 4
 )
 
 // Source is what a limiter keeps of one target, to tell an overload of the service from a
@@ -33,10 +34,11 @@
 	targets  int
 	answered int
 	queued   int
-	// period numbers the times that the count was begun anew, carried is the number of
-	// windows since then.
-	period  uint64
-	carried int
+	// period numbers the times that the count was begun anew.
+	period uint64
+	// awaited is the number of consecutive windows with signs of an overload in which too few
+	// targets had answered.
+	awaited int
 }
 
 // of returns the count of a failure domain.
@@ -73,31 +75,36 @@
 	}
 }
 
-// judged reports whether enough targets have answered, or been waited for long enough.
-func (c *domainCount) judged() bool {
-	return c.answered >= min(minJudgedTargets, c.targets) || c.carried >= maxCarriedWindows
-}
+// enough reports whether enough targets have answered to judge the domain.
+func (c *domainCount) enough() bool { return c.answered >= min(minJudgedTargets, c.targets) }
 
-// hasRoom reports whether a domain may take more requests: fewer than half of its targets
+// hasRoom reports whether the domain may take more requests: fewer than half of its targets
 // that answered have a queue, or too few of them have answered to know.
+func (c *domainCount) hasRoom() bool {
+	if float64(c.queued) < maxQueuedTargets*float64(c.answered) {
+		return true
+	}
+	return !c.enough() && c.awaited < maxAwaitedWindows
+}
+
+// hasRoom reports whether any domain may take more requests.
 func (s spread) hasRoom() bool {
 	for _, count := range s {
-		switch {
-		case count.answered == 0:
-		case float64(count.queued) < maxQueuedTargets*float64(count.answered), !count.judged():
+		if count.hasRoom() {
 			return true
 		}
 	}
 	return false
 }
 
-// endWindow begins the counts anew that were judged, and carries the others on.
-func (s spread) endWindow() {
+// endWindow begins the counts anew. In an overload, or with signs of one, those of too few
+// targets are carried on.
+func (s spread) endWindow(overload bool) {
 	for _, count := range s {
-		if count.answered == 0 || count.judged() {
-			*count = domainCount{targets: count.targets, period: count.period + 1}
+		if overload && !count.enough() {
+			count.awaited++
 			continue
 		}
-		count.carried++
+		*count = domainCount{targets: count.targets, period: count.period + 1}
 	}
 }
--- a/internal/coordination/shed/spread_test.go
+++ b/internal/coordination/shed/spread_test.go
@@ -182,6 +182,18 @@
 	require.Len(t, f.changes, 1)
 }
 
+// A domain that was not tried may have room. If nothing comes from it for some windows, it can't
+// be reached.
+func TestSilentDomainIsNoProof(t *testing.T) {
+	f := newFixture()
+	f.limiter.SetTargets(map[state.DomainID]int{"a": 10, "b": 10})
+	local := newTargets("a", 10)
+	f.answerAs(local, 60, slowTargets(10))
+	require.Empty(t, f.changes)
+	f.answerAs(local, 60, slowTargets(10))
+	require.Len(t, f.changes, 1)
+}
+
 // A domain with fewer targets is judged by all that it has.
 func TestSmallDomainIsJudgedByItsTargets(t *testing.T) {
 	f := newFixture()
--- a/internal/coordination/shed/window.go
+++ b/internal/coordination/shed/window.go
@@ -49,6 +49,12 @@
 	return m
 }
 
+// discardWindow begins a new window in place of an incomplete one.
+func (l *Limiter) discardWindow(now time.Duration) {
+	l.spread.endWindow(false)
+	l.startWindow(now)
+}
+
 func (l *Limiter) startWindow(now time.Duration) {
 	l.windowStart = now
 	l.refused = 0
@@ -57,5 +63,4 @@
 		c.startWindow()
 	}
 	l.newFlows.startWindow()
-	l.spread.endWindow()
 }
