Give the limiter's settings, the account of placings and signals functions of their own

Comments of the limits reworded. No decision changes; go test of edge, shed, steer, outcomes and soak passes.

--- a/internal/coordination/shed/adjust.go
+++ b/internal/coordination/shed/adjust.go
@@ -12,7 +12,7 @@
 	}
 	l.recordRefusals(m)
 	wasLimiting := l.limiting
-	overload := l.limiting || m.lateShare > maxLateShare || l.crowded(m) || l.rejecting(m)
+	overload := l.limiting || l.overloaded(m)
 	switch {
 	case l.limiting:
 		l.adjust(m)
@@ -29,6 +29,11 @@
 	return l.change(m)
 }
 
+// overloaded reports whether a window has signs of an overload.
+func (l *Limiter) overloaded(m measurement) bool {
+	return m.lateShare > maxLateShare || l.crowded(m) || l.rejecting(m)
+}
+
 // startLimit returns the limit at the start of an overload.
 func (l *Limiter) startLimit(m measurement) float64 {
 	if l.UseRejections {
--- a/internal/coordination/shed/admit.go
+++ b/internal/coordination/shed/admit.go
@@ -8,15 +8,14 @@
 	leastImportantLimit = 0.5
 	// reservedShare is the number of new flows admitted above the limit for each answer, so
 	// that requests on open flows don't take all slots; maxReserved bounds those saved up.
-	// With Limiter.UseRejections only the answers to executed requests count that are less
-	// important than the new flows for which slots are reserved.
+	// With Limiter.UseRejections an answer counts only if the target executed the request and
+	// its priority is not the most important one.
 	reservedShare = 0.5
 	maxReserved   = 2
 )
 
-// Admit decides about a client's new flow of a route with the given priority. One that is
-// not admitted is to be refused at once: a flow that waits here for a slot takes it from one
-// that would be answered in time.
+// Admit decides about a client's new flow of a route with the given priority. The caller
+// must refuse one that is not admitted at once.
 func (l *Limiter) Admit(priority int, client netip.Addr) bool {
 	if l.limiting && !l.belowLimit(priority, l.shareOf(client)) {
 		l.refused++
--- a/internal/coordination/shed/class.go
+++ b/internal/coordination/shed/class.go
@@ -6,17 +6,17 @@
 )
 
 const (
-	// activePart is the part of the answers from which a class counts when priorities are
-	// compared: a route that is hardly used makes no other one less important.
+	// activePart is the fraction of the answers from which a class counts when priorities are
+	// ranked: a route that is hardly used makes no other one less important.
 	activePart = 0.02
-	// partWeight is the weight of one window in a class's part of the answers.
+	// partWeight is the weight of one window in a class's fraction of the answers.
 	partWeight = 0.1
 )
 
 // class is what was observed of the routes of one priority.
 type class struct {
 	priority int
-	// part is the part of all answers that were those of the class, lately.
+	// part is the moving mean, over windows, of the fraction of answers that the class has.
 	part      float64
 	objective time.Duration
 	baseline  baseline
--- a/internal/coordination/shed/spread.go
+++ b/internal/coordination/shed/spread.go
@@ -6,11 +6,12 @@
 	// maxQueuedTargets is the fraction of a failure domain's targets with a queue below which
 	// the domain has room.
 	maxQueuedTargets = 0.5
-	// minJudgedTargets is the number of a domain's targets, or all of them, that must have
-	// answered for the domain to be judged: the first one or two may be just the slow ones, and
-	// one of which none has answered may not have been tried. maxAwaitedWindows is for how many
-	// windows with signs of an overload their answers are awaited.
-	minJudgedTargets  = 4
+	// minJudgedTargets is the number of targets of a domain whose answers show whether it has
+	// room; in a smaller domain it is all of them. The first one or two may happen to be slow
+	// ones, and a domain without any answer may not have been tried.
+	minJudgedTargets = 4
+	// maxAwaitedWindows is the number of windows with signs of an overload after which a domain
+	// is judged by fewer answers.
 	maxAwaitedWindows = 4
 )
 
@@ -29,6 +30,7 @@
 // windows if one shows too few of them.
 type spread map[state.DomainID]*domainCount
 
+// domainCount counts the targets of one failure domain.
 type domainCount struct {
 	// targets is the number of targets of the domain, 0 if it is not known.
 	targets  int
--- a/internal/coordination/steer/account.go
+++ b/internal/coordination/steer/account.go
@@ -23,18 +23,22 @@
 	}
 }
 
-// recordPlacing counts the placing of a flow by the answer to its first request, and
-// remembers targets that have a free slot.
-func (e *Engine) recordPlacing(now time.Duration, f *flow, answer shed.Answer, queue float64, rejected bool) {
-	free := f.target.free
-	if answer.First {
-		e.account.Made(outcomes.Placing)
-		if (rejected || answer.Took > answer.Objective) && free.OtherSince(f.requestAt, f.target) {
-			e.account.Wrong(outcomes.Placing)
-		}
+// recordPlacing counts the placing of a flow by the answer to its first request.
+func (e *Engine) recordPlacing(f *flow, answer shed.Answer, rejected bool) {
+	if !answer.First {
+		return
+	}
+	e.account.Made(outcomes.Placing)
+	failed := rejected || answer.Took > answer.Objective
+	if failed && f.target.free.OtherSince(f.requestAt, f.target) {
+		e.account.Wrong(outcomes.Placing)
 	}
+}
+
+// recordFree remembers that the target had a free slot, if its answer came without a queue.
+func (r *targetRecord) recordFree(now time.Duration, queue float64, rejected bool) {
 	if !rejected && queue <= freeQueue {
-		free.Record(now, f.target)
+		r.free.Record(now, r)
 	}
 }
 
--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -67,18 +67,14 @@
 	e.targets.drained = view.DrainedDomains
 	e.targets.views++
 	for _, pool := range view.Pools {
-		limiter := e.targets.limiters.of(pool.ID)
-		limiter.UseRejections = e.usesEstimates(pool)
-		targets := make(map[state.DomainID]int)
+		e.configureLimiter(pool)
 		for _, target := range pool.Offered {
-			targets[target.Domain]++
 			r := e.targets.getOrCreate(target, now)
 			r.offeredIn = e.targets.views
 			if r.restarted(target) {
 				e.handleRestart(now, r, target)
 			}
 		}
-		limiter.SetTargets(targets)
 	}
 }
 
--- a/internal/coordination/steer/shedding.go
+++ b/internal/coordination/steer/shedding.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/shed"
+	"github.com/guavawharf/guavawharf/internal/state"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
 
@@ -35,6 +36,17 @@
 	}
 }
 
+// configureLimiter tells the limiter of a pool how to decide and which targets there are.
+func (e *Engine) configureLimiter(pool *catalog.Pool) {
+	limiter := e.targets.limiters.of(pool.ID)
+	limiter.UseRejections = e.usesEstimates(pool)
+	targets := make(map[state.DomainID]int)
+	for _, target := range pool.Offered {
+		targets[target.Domain]++
+	}
+	limiter.SetTargets(targets)
+}
+
 // enterLimiter counts the flow as in flight: its SYN or its request awaits an answer.
 func (f *flow) enterLimiter(l *shed.Limiter) {
 	f.leaveLimiter()
@@ -74,7 +86,8 @@
 	if queue, known := limiter.Queue(answer); known {
 		rejected := limiter.Rejects(answer)
 		f.target.recordEstimate(now, queue, rejected)
-		e.recordPlacing(now, f, answer, queue, rejected)
+		e.recordPlacing(f, answer, rejected)
+		f.target.recordFree(now, queue, rejected)
 	}
 	e.addOverloadChange(f.target.pool, limiter.RecordAnswer(now, answer))
 }
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -144,7 +144,8 @@
 	totalLoad loadTracker
 	alarms    alarms
 	limiters  limiters
-	free      map[catalog.PoolID]*freeTargets
+	// free are the targets that last answered without a queue, by pool.
+	free map[catalog.PoolID]*freeTargets
 	// estimates are those of the failure domains, by pool.
 	estimates map[catalog.PoolID]estimates
 	// selections counts the targets selected for new flows.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -129,14 +129,6 @@
 // requestTargetsRead requests an immediate read of the targets without blocking.
 func (c *control) requestTargetsRead() { notify(c.targetsReadRequested) }
 
-// notify wakes a receiver without blocking; one pending signal is enough.
-func notify(to chan<- struct{}) {
-	select {
-	case to <- struct{}{}:
-	default:
-	}
-}
-
 // run starts the calls that are due and handles their results until close.
 func (c *control) run() {
 	timer := time.NewTimer(0)
@@ -284,18 +276,3 @@
 	c.peerClient.Close()
 	c.peerServer.close()
 }
-
-// waitFor waits for the group, at most for timeout, and reports whether it is done.
-func waitFor(group *sync.WaitGroup, timeout time.Duration) bool {
-	done := make(chan struct{})
-	go func() {
-		group.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-time.After(timeout):
-		return false
-	}
-}
