--- a/review/standin/release.go
+++ b/review/standin/release.go
@@ -29,7 +29,7 @@
 	for round := range 7 {
 		time.Sleep(time.Second)
 		if !s.trouble {
-			time.Sleep(14 * time.Second)
+			time.Sleep(12 * time.Second)
 			continue
 		}
 		ended := make(chan struct{})
