Tell a refused new flow from a reset open one without a route

A reset for an address without a route had one reason, "no_route", whether a new flow was refused, an open flow was reset, or a packet was dropped.

Open flows now have reasons of their own, route_unknown (dropped) and route_removed (reset), each with its counter and log budget, and each line of a decision tells the ages of the configuration and of the targets. No decision changes.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -202,10 +202,13 @@
 // already has. A RST is never answered.
 func (e *Engine) handleNoRoute(p *Packet) Verdict {
 	e.removeFlow(p.key())
-	if p.RST || !p.SYN && !e.view.RemovedAddresses[p.Service] {
-		return Verdict{Reason: ReasonNoRoute}
+	switch {
+	case p.SYN:
+		return replyReset(p, ReasonNoRoute)
+	case p.RST || !e.view.RemovedAddresses[p.Service]:
+		return Verdict{Reason: ReasonRouteUnknown}
 	}
-	return replyReset(p, ReasonNoRoute)
+	return replyReset(p, ReasonRouteRemoved)
 }
 
 // replyReset returns the verdict that answers a packet with a RST.
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -63,8 +63,14 @@
 	// client retransmitted it.
 	ReasonRetried  Reason = "offered_again"
 	ReasonNotReady Reason = "not_ready"
-	ReasonNoRoute  Reason = "no_route"
-	ReasonNoTarget Reason = "no_target"
+	// ReasonNoRoute resets a new flow to an address without a route.
+	ReasonNoRoute Reason = "no_route"
+	// ReasonRouteUnknown drops a packet of an open flow to an address without a route here:
+	// another host may know a newer configuration that has one.
+	ReasonRouteUnknown Reason = "route_unknown"
+	// ReasonRouteRemoved resets an open flow whose route the configuration no longer has.
+	ReasonRouteRemoved Reason = "route_removed"
+	ReasonNoTarget     Reason = "no_target"
 	// ReasonDomainDrained resets a new flow because the operator drains the failure domains
 	// of all targets that could take it.
 	ReasonDomainDrained Reason = "domain_drained"
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -48,7 +48,7 @@
 // countedReasons are the reasons that can occur, each with a counter of its own.
 var countedReasons = []steer.Reason{
 	steer.ReasonEstablished, steer.ReasonPlaced, steer.ReasonRetried, steer.ReasonAlreadyOpen, steer.ReasonNotReady,
-	steer.ReasonNoRoute, steer.ReasonNoTarget, steer.ReasonUnknownCookie, steer.ReasonTargetSilent,
+	steer.ReasonNoRoute, steer.ReasonRouteUnknown, steer.ReasonRouteRemoved, steer.ReasonNoTarget, steer.ReasonUnknownCookie, steer.ReasonTargetSilent,
 	steer.ReasonTargetRestarted, steer.ReasonTargetUnknown, steer.ReasonOverloaded, steer.ReasonUnreachable, steer.ReasonSlowStart, steer.ReasonDomainDrained,
 }
 
@@ -160,12 +160,14 @@
 }
 
 // logVerdict logs any decision other than to forward an established packet. The cookie
-// is that of the packet that led to the decision, in hexadecimal.
+// is that of the packet that led to the decision, in hexadecimal; the ages are the times
+// since the newest complete reads of the configuration and of the targets were requested.
 func (e *Edge) logVerdict(v steer.Verdict, client, service netip.AddrPort, cookie catalog.Cookie) {
 	e.log.Info("flow "+string(v.Reason), "client", client.String(), "service", service.String(),
 		"target", v.Evidence.Target, "reset", v.Action == steer.ActionReset,
 		"age", v.Evidence.Age.String(), "waiting", v.Evidence.Waiting, "open", v.Evidence.Open,
-		"cookie", strconv.FormatUint(uint64(cookie), 16), "config", e.configVersion())
+		"cookie", strconv.FormatUint(uint64(cookie), 16), "config", e.configVersion(),
+		"config_age", e.age(&e.configReadAt).String(), "targets_age", e.age(&e.targetsReadAt).String())
 }
 
 // logOverloadChange logs that new flows to a pool are refused from now on, or no longer.
