Reset an open flow without a route only after a newer read

Cause: a host that had read the removal, but not yet the version after it, took the removal for the newest state.

Now such a packet is dropped, the configuration is read at once, and the flow is reset only if a read requested after the flow's first such packet still lacks the route. Then the version that was read is one that dropped the flow's route. Each flow needs a read of its own, and a store restored from a backup proves nothing for a while.

TestFlowIsResetWhenRouteIsRemovedButNotWhenPoolsChange demanded the reset at the first packet; it now demands no reset before the read and one right after it.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -28,6 +28,7 @@
 	// resets are the verdicts to return from the next HandleDeadlines.
 	resets         []Verdict
 	unknownCookies unknownCookies
+	unresolved     unresolvedFlows
 	// handshakeTime is the HandshakeTime of the verdict on the current packet.
 	handshakeTime time.Duration
 	// shares are those of targets in their slow start, nil if they are not shared out.
@@ -47,6 +48,7 @@
 		flows:          make(map[state.FlowKey]*flow),
 		pending:        make(map[state.FlowKey]*flow),
 		unknownCookies: unknownCookies{seen: make(map[catalog.Cookie]time.Duration)},
+		unresolved:     unresolvedFlows{flows: make(map[state.FlowKey]unresolvedFlow)},
 	}
 }
 
@@ -157,8 +159,9 @@
 	}
 	route := e.view.Routes[p.Service]
 	if route == nil {
-		return e.handleNoRoute(p)
+		return e.handleNoRoute(now, p)
 	}
+	e.unresolved.resolve(p)
 	if p.SYN {
 		return e.handleSYN(now, route, p)
 	}
@@ -197,16 +200,19 @@
 }
 
 // handleNoRoute resets flows to an address without a route, so that the client need not
-// wait for a timeout. A packet of an open flow to an address that never had a route here
-// is dropped instead: the flow may belong to a newer configuration that another host
-// already has. A RST is never answered.
-func (e *Engine) handleNoRoute(p *Packet) Verdict {
+// wait for a timeout: a new flow at once, an open one only if the configuration lacks its
+// route as of a time after its packet arrived. Until then the packet is dropped, since a
+// newer configuration, by which another host opened the flow, may have the route again. So
+// is a packet to an address that never had a route here. A RST is never answered.
+func (e *Engine) handleNoRoute(now time.Duration, p *Packet) Verdict {
 	e.removeFlow(p.key())
 	switch {
 	case p.SYN:
 		return replyReset(p, ReasonNoRoute)
 	case p.RST || !e.view.RemovedAddresses[p.Service]:
 		return Verdict{Reason: ReasonRouteUnknown}
+	case !e.unresolved.configReadSinceSeen(now, p) || !e.view.ConfigCertain:
+		return Verdict{Reason: ReasonRouteUnknown}
 	}
 	return replyReset(p, ReasonRouteRemoved)
 }
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -44,7 +44,7 @@
 	c := f.newClient(depositAddress)
 	c.cookie = 77
 	require.Equal(t, ReasonUnknownCookie, c.sendRequest().Reason)
-	require.True(t, f.engine.DrainReadRequest())
+	require.True(t, f.engine.DrainReadRequests().Targets)
 	f.engine.SetTargetsReadAt(f.now + time.Millisecond)
 	f.now += 200 * time.Millisecond
 	require.Equal(t, ReasonTargetUnknown, c.sendRequest().Reason)
@@ -70,7 +70,7 @@
 	c.cookie = orderTarget(2, "a").ID.Cookie()
 	for range 5 {
 		require.Equal(t, Verdict{Reason: ReasonUnknownCookie}, c.sendUncounted())
-		require.True(t, f.engine.DrainReadRequest(), "another read may return the target")
+		require.True(t, f.engine.DrainReadRequests().Targets, "another read may return the target")
 		f.now += 200 * time.Millisecond
 	}
 	f.directory.Put(0, orderTarget(2, "a"))
@@ -112,7 +112,9 @@
 	verdict := feed.sendRequest()
 	require.Equal(t, ActionForward, verdict.Action)
 	require.Equal(t, "t1", verdict.Target.Name, "only new flows go to the route's new pool")
-	verdict = proof.sendRequest()
+	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, proof.sendRequest())
+	f.readConfigAgain()
+	verdict = proof.retransmit()
 	require.Equal(t, ReasonRouteRemoved, verdict.Reason)
 	require.Equal(t, ActionReset, verdict.Action)
 	require.Equal(t, proof.ack, verdict.Seq, "the sequence number of a reset must be near the client's last acknowledgement")
--- a/internal/coordination/steer/unknown_cookies.go
+++ b/internal/coordination/steer/unknown_cookies.go
@@ -49,10 +49,11 @@
 // The view in force must already hold the result of that read.
 func (e *Engine) SetTargetsReadAt(at time.Duration) { e.unknownCookies.targetsReadAt = at }
 
-// DrainReadRequest reports whether a read of the targets was requested since the last
-// call.
-func (e *Engine) DrainReadRequest() bool {
-	requested := e.unknownCookies.readRequested
+// DrainReadRequests returns the reads requested since the last call.
+func (e *Engine) DrainReadRequests() ReadRequests {
+	requested := e.unresolved.requested
+	requested.Targets = e.unknownCookies.readRequested
+	e.unresolved.requested = ReadRequests{}
 	e.unknownCookies.readRequested = false
 	return requested
 }
--- /dev/null
+++ b/internal/coordination/steer/unresolved_test.go
@@ -0,0 +1,127 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
+)
+
+// readConfigAgain has the engine learn of a read of the configuration that was requested
+// now, and lets the client's retransmission come 200 ms later.
+func (f *fixture) readConfigAgain() {
+	require.True(f.t, f.engine.DrainReadRequests().Config)
+	f.engine.SetConfigReadAt(f.now + time.Millisecond)
+	f.now += 200 * time.Millisecond
+}
+
+// setProofRoute puts a configuration in force with or without the route to proofAddress.
+func (f *fixture) setProofRoute(version uint64, present bool) {
+	config := catalog.Config{Version: version, Routes: []catalog.Route{
+		{Name: "feed", Address: feedAddress, Pools: []catalog.PoolWeight{{Pool: orderPool, Weight: 1}}, Idempotent: true},
+	}}
+	if present {
+		config.Routes = append(config.Routes, catalog.Route{
+			Name: "proof", Address: proofAddress, Pools: []catalog.PoolWeight{{Pool: proofPool, Weight: 1}}, Idempotent: true,
+		})
+	}
+	f.directory.SetConfig(config)
+	f.publish()
+}
+
+// openedElsewhere returns the client of a flow that another host placed at a target.
+func (f *fixture) openedElsewhere(target catalog.Target) *testClient {
+	c := f.newClient(proofAddress)
+	c.cookie, c.seq, c.ack = target.ID.Cookie(), uint32(f.nextPort)<<20, 5000
+	return c
+}
+
+// Guards against resets by a host that has read the removal of a route but not yet that the
+// route is back (review case 1): another host has opened the flow since.
+func TestFlowOfARouteThatIsBackIsNotReset(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"), target)
+	f.setProofRoute(2, false)
+	f.engine.SetConfigReadAt(f.now)
+	f.now += time.Second
+	c := f.openedElsewhere(target)
+	for range 4 {
+		require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, c.sendUncounted())
+		require.True(t, f.engine.DrainReadRequests().Config, "the newest read may be older than the flow")
+		f.now += 200 * time.Millisecond
+	}
+	f.setProofRoute(3, true)
+	f.engine.SetConfigReadAt(f.now)
+	require.Equal(t, ActionForward, c.sendUncounted().Action)
+}
+
+// Guards against the end of one flow counting as evidence against a later one.
+func TestEachFlowWithoutARouteNeedsAReadOfItsOwn(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"), target)
+	f.setProofRoute(2, false)
+	removed := f.openedElsewhere(target)
+	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, removed.sendRequest())
+	f.readConfigAgain()
+	require.Equal(t, ReasonRouteRemoved, removed.retransmit().Reason)
+
+	f.now += time.Second
+	next := f.openedElsewhere(target)
+	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, next.sendRequest(), "opened since the read")
+
+	samePort := f.openedElsewhere(target)
+	samePort.address = removed.address
+	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, samePort.sendRequest(), "a later flow of the port")
+}
+
+// Guards against evidence that was collected before the flow's route was back.
+func TestFlowThatWasForwardedIsNotResetByAnOlderRead(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"), target)
+	f.setProofRoute(2, false)
+	c := f.openedElsewhere(target)
+	require.Equal(t, ActionDrop, c.sendUncounted().Action)
+	f.setProofRoute(3, true)
+	require.Equal(t, ActionForward, c.sendUncounted().Action)
+	f.readConfigAgain()
+	f.now += time.Second
+	f.setProofRoute(4, false)
+	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, c.sendUncounted())
+}
+
+// Guards against trust in a store that was just restored: it may have lost the
+// configuration by which another host opened the flow.
+func TestRestoredStoreIsNoEvidenceAgainstAFlow(t *testing.T) {
+	f := newFixture(t, orderTarget(1, "a"))
+	f.directory = catalog.NewDirectory(catalog.Settings{DepartedRetention: time.Minute, RestoreDoubt: 6 * time.Second})
+	f.directory.Put(0, orderTarget(1, "a"))
+	f.setProofRoute(1, true)
+	f.setProofRoute(2, false)
+	f.directory.RecordRestore(f.now)
+	f.publish()
+	c := f.openedElsewhere(newTarget(2, "a", proofPool))
+	require.Equal(t, ActionDrop, c.sendRequest().Action)
+	f.readConfigAgain()
+	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, c.retransmit())
+	f.now += 6 * time.Second
+	f.publish()
+	require.Equal(t, ReasonRouteRemoved, c.retransmit().Reason)
+}
+
+// Packets of made-up flows must not fill the memory.
+func TestUnresolvedFlowsAreBoundedAndForgotten(t *testing.T) {
+	f := newFixture(t, orderTarget(1, "a"))
+	f.setProofRoute(2, false)
+	for range maxUnresolvedFlows + 100 {
+		f.openedElsewhere(newTarget(2, "a", proofPool)).sendRequest()
+	}
+	require.Len(t, f.engine.unresolved.flows, maxUnresolvedFlows)
+	f.engine.SetConfigReadAt(f.now + time.Millisecond)
+	f.now += 200 * time.Millisecond
+	require.Equal(t, ActionDrop, f.openedElsewhere(newTarget(2, "a", proofPool)).sendRequest().Action)
+	f.now += 2 * unresolvedFlowLifetime
+	f.engine.HandleDeadlines(f.now, nil)
+	require.Empty(t, f.engine.unresolved.flows)
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/guavawharf/guavawharf/internal/coordination/follow"
 	"github.com/guavawharf/guavawharf/internal/coordination/peers"
+	"github.com/guavawharf/guavawharf/internal/coordination/steer"
 	"github.com/guavawharf/guavawharf/internal/protocol/peerapi"
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/transport/peerlink"
@@ -46,7 +47,8 @@
 	newerConfigs chan newerConfig
 	// configValue is the encoded configuration in force.
 	configValue json.RawMessage
-	// targetsReadRequested requests an immediate read of the targets.
+	// configReadRequested and targetsReadRequested request an immediate read of a kind.
+	configReadRequested  chan struct{}
 	targetsReadRequested chan struct{}
 	// notices are those of other hosts that objects have changed.
 	notices chan peerapi.Notice
@@ -94,6 +96,7 @@
 		broadcaster:          broadcaster,
 		results:              make(chan readResult, storeCalls),
 		newerConfigs:         make(chan newerConfig, newerConfigCalls),
+		configReadRequested:  make(chan struct{}, 1),
 		targetsReadRequested: make(chan struct{}, 1),
 		notices:              make(chan peerapi.Notice, maxQueuedNotices),
 		firstPeerQuery:       make(chan struct{}, 1),
@@ -126,8 +129,15 @@
 // forever.
 func repanic(cause any) { panic(cause) }
 
-// requestTargetsRead requests an immediate read of the targets without blocking.
-func (c *control) requestTargetsRead() { notify(c.targetsReadRequested) }
+// requestReads requests immediate reads without blocking.
+func (c *control) requestReads(requests steer.ReadRequests) {
+	if requests.Config {
+		notify(c.configReadRequested)
+	}
+	if requests.Targets {
+		notify(c.targetsReadRequested)
+	}
+}
 
 // run starts the calls that are due and handles their results until close.
 func (c *control) run() {
@@ -140,6 +150,8 @@
 			c.handleResult(r)
 		case newer := <-c.newerConfigs:
 			c.applyNewerConfig(c.edge.now(), newer)
+		case <-c.configReadRequested:
+			c.config.PollSoon(c.edge.now())
 		case <-c.targetsReadRequested:
 			c.targets.PollSoon(c.edge.now())
 		case target := <-c.reporter.own:
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -196,16 +196,18 @@
 	}
 }
 
-// loadView passes the newest view, and the time of the newest read of the targets, to
-// the engine.
+// loadView passes the newest view, and the times of the newest reads of the configuration
+// and of the targets, to the engine.
 func (t *traffic) loadView() {
-	// Loaded before the view, so that the view holds at least the data of that read.
-	readAt := time.Duration(t.edge.targetsReadAt.Load())
+	// Loaded before the view, so that the view holds at least the data of these reads.
+	configReadAt := time.Duration(t.edge.configReadAt.Load())
+	targetsReadAt := time.Duration(t.edge.targetsReadAt.Load())
 	if view := t.edge.view.Load(); view != t.view && view != nil {
 		t.view = view
 		t.engine.SetView(t.now, view)
 	}
-	t.engine.SetTargetsReadAt(readAt)
+	t.engine.SetConfigReadAt(configReadAt)
+	t.engine.SetTargetsReadAt(targetsReadAt)
 	t.loadDomainHosts()
 }
 
@@ -261,9 +263,7 @@
 			t.engine.RecordCheck(t.now, check.Target, steer.CheckInconclusive)
 		}
 	}
-	if t.engine.DrainReadRequest() {
-		t.edge.control.requestTargetsRead()
-	}
+	t.edge.control.requestReads(t.engine.DrainReadRequests())
 	for _, change := range t.engine.DrainHealthChanges() {
 		t.edge.logHealthChange(change)
 		if change.Report {
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -237,6 +237,7 @@
 		Listed:           d.listed,
 		DrainsKnown:      d.drainsKnown(now),
 		DrainedDomains:   maps.Clone(d.drains.drained),
+		ConfigCertain:    now >= d.doubtUntil,
 		Complete:         d.listed && now >= d.graceUntil && len(d.unreadable) == 0,
 		SlowStarts:       len(d.config.SlowStarts) > 0,
 		RemovedAddresses: d.removedAddresses,
@@ -250,7 +251,7 @@
 	if d.listed && now < d.graceUntil {
 		next = earliest(next, d.graceUntil)
 	}
-	if len(d.heldBack) > 0 {
+	if now < d.doubtUntil {
 		next = earliest(next, d.doubtUntil)
 	}
 	if !b.view.DrainsKnown {
--- a/internal/state/catalog/view.go
+++ b/internal/state/catalog/view.go
@@ -73,6 +73,9 @@
 	// Complete reports whether every running target is known, so that an unknown
 	// cookie belongs to a target that no longer exists.
 	Complete bool
+	// ConfigCertain reports whether the newest read of the configuration had the newest
+	// acknowledged one. A store that was just restored from a backup may have lost it.
+	ConfigCertain bool
 	// DrainsKnown reports whether the drained domains are known, or no longer waited for.
 	DrainsKnown bool
 	// DrainedDomains are the failure domains whose targets get no new flow.
