Read the targets anew for each flow of an unknown target

A target that is away for a while and starts again under its id could have a new flow reset while it lives: a host that saw a cookie without a target read the targets, and kept for a minute that this cookie belongs to no target. A flow opened at the target's new start through another host was reset on that old evidence, by a host that had not read the new entry.

Cause: the evidence was kept by cookie, not by flow.

Flows without a known target now share the table of flows without a known route: each needs a read that was requested after its first packet.

TestFlowAtATargetThatIsBackIsNotReset failed before (target_unknown).

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -26,9 +26,9 @@
 	// overloadChanges collects entries until the next DrainOverloadChanges.
 	overloadChanges []OverloadChange
 	// resets are the verdicts to return from the next HandleDeadlines.
-	resets         []Verdict
-	unknownCookies unknownCookies
-	unresolved     unresolvedFlows
+	resets []Verdict
+	// unresolved are the flows whose route or target is not known.
+	unresolved unresolvedFlows
 	// handshakeTime is the HandshakeTime of the verdict on the current packet.
 	handshakeTime time.Duration
 	// shares are those of targets in their slow start, nil if they are not shared out.
@@ -43,12 +43,11 @@
 // NewEngine returns an engine for a host in the given failure domain.
 func NewEngine(domain state.DomainID, random Random) *Engine {
 	return &Engine{
-		random:         random,
-		targets:        newTargetTable(domain),
-		flows:          make(map[state.FlowKey]*flow),
-		pending:        make(map[state.FlowKey]*flow),
-		unknownCookies: unknownCookies{seen: make(map[catalog.Cookie]time.Duration)},
-		unresolved:     unresolvedFlows{flows: make(map[state.FlowKey]unresolvedFlow)},
+		random:     random,
+		targets:    newTargetTable(domain),
+		flows:      make(map[state.FlowKey]*flow),
+		pending:    make(map[state.FlowKey]*flow),
+		unresolved: unresolvedFlows{flows: make(map[state.FlowKey]unresolvedFlow)},
 	}
 }
 
@@ -161,14 +160,15 @@
 	if route == nil {
 		return e.handleNoRoute(now, p)
 	}
-	e.unresolved.resolve(p)
 	if p.SYN {
+		e.unresolved.resolve(p)
 		return e.handleSYN(now, route, p)
 	}
 	target := route.Target(p.Cookie)
 	if target == nil {
 		return e.handleUnknownCookie(now, p)
 	}
+	e.unresolved.resolve(p)
 	e.handshakeTime = 0
 	if forward := e.observeEstablished(now, route, target, p); !forward {
 		verdict := replyReset(p, ReasonTargetSilent)
@@ -184,16 +184,16 @@
 	}
 }
 
-// handleUnknownCookie decides about a packet whose target is not known. If every
-// running target is known, this one has ended and a new connection serves the client
-// better. Two kinds of cookie prove nothing and are dropped: one that names a target of
-// another pool, and one of a target that may have started after the targets were last
-// read, which another host may know.
+// handleUnknownCookie decides about a packet whose target is not known. If every running
+// target is known as of a time after the packet arrived, this one has ended and a new
+// connection serves the client better. Two kinds of cookie prove nothing and are dropped:
+// one that names a target of another pool, and one of a target that may have started after
+// the targets were last read, which another host may know.
 func (e *Engine) handleUnknownCookie(now time.Duration, p *Packet) Verdict {
 	if !e.view.Complete || p.RST || e.view.HasTarget(p.Cookie) {
 		return Verdict{Reason: ReasonUnknownCookie}
 	}
-	if !e.unknownCookies.readSinceFirstSeen(now, p.Cookie) {
+	if !e.unresolved.targetsReadSinceSeen(now, p) {
 		return Verdict{Reason: ReasonUnknownCookie}
 	}
 	return replyReset(p, ReasonTargetUnknown)
--- a/internal/coordination/steer/unresolved.go
+++ b/internal/coordination/steer/unresolved.go
@@ -20,11 +20,14 @@
 // unresolvedFlows holds the flows whose packets this host can't place by what it has read.
 // Another host may have read more and may have opened the flow by that, so that a flow is
 // ended only after a read that was requested since its first packet here. That one flow of
-// a route has ended proves nothing about the next one: the route may be back by then.
+// a route or at a target has ended proves nothing about the next one: the route may be back
+// by then, and the target may have started again under its ID.
 type unresolvedFlows struct {
 	flows map[state.FlowKey]unresolvedFlow
-	// configReadAt is when the newest answered read of the configuration was requested.
-	configReadAt time.Duration
+	// configReadAt and targetsReadAt are when the newest answered reads of the configuration
+	// and of the targets were requested.
+	configReadAt  time.Duration
+	targetsReadAt time.Duration
 	// requested are the reads to make now.
 	requested ReadRequests
 }
@@ -57,6 +60,15 @@
 	return false
 }
 
+// targetsReadSinceSeen is configReadSinceSeen for the targets.
+func (u *unresolvedFlows) targetsReadSinceSeen(now time.Duration, p *Packet) bool {
+	if u.targetsReadAt > u.firstSeen(now, p) {
+		return true
+	}
+	u.requested.Targets = true
+	return false
+}
+
 // firstSeen returns when the first unresolved packet of the flow was seen; now if it is this
 // one or if the table is full.
 func (u *unresolvedFlows) firstSeen(now time.Duration, p *Packet) time.Duration {
@@ -88,3 +100,14 @@
 // SetConfigReadAt sets when the newest answered read of the configuration was requested.
 // The view in force must already hold the result of that read.
 func (e *Engine) SetConfigReadAt(at time.Duration) { e.unresolved.configReadAt = at }
+
+// SetTargetsReadAt sets when the latest answered read of the targets was requested.
+// The view in force must already hold the result of that read.
+func (e *Engine) SetTargetsReadAt(at time.Duration) { e.unresolved.targetsReadAt = at }
+
+// DrainReadRequests returns the reads requested since the last call.
+func (e *Engine) DrainReadRequests() ReadRequests {
+	requested := e.unresolved.requested
+	e.unresolved.requested = ReadRequests{}
+	return requested
+}
--- a/internal/coordination/steer/unresolved_test.go
+++ b/internal/coordination/steer/unresolved_test.go
@@ -125,3 +125,31 @@
 	f.engine.HandleDeadlines(f.now, nil)
 	require.Empty(t, f.engine.unresolved.flows)
 }
+
+// Guards against resets of flows at a target that has started again under its id: that its
+// cookie once belonged to no target proves nothing about later flows.
+func TestFlowAtATargetThatIsBackIsNotReset(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"))
+	f.directory.RemoveUnlisted(f.now, map[string]bool{"t1": true})
+	f.publish()
+	ended := f.openedElsewhere(target)
+	require.Equal(t, Verdict{Reason: ReasonUnknownCookie}, ended.sendRequest())
+	f.readTargetsAgain()
+	require.Equal(t, ReasonTargetUnknown, ended.retransmit().Reason)
+
+	f.now += 5 * time.Second
+	next := f.openedElsewhere(target)
+	require.Equal(t, Verdict{Reason: ReasonUnknownCookie}, next.sendRequest(), "the target may have started since the read")
+	f.directory.Put(f.now, target)
+	f.publish()
+	f.readTargetsAgain()
+	require.Equal(t, ActionForward, next.retransmit().Action)
+}
+
+// readTargetsAgain is readConfigAgain for the targets.
+func (f *fixture) readTargetsAgain() {
+	require.True(f.t, f.engine.DrainReadRequests().Targets)
+	f.engine.SetTargetsReadAt(f.now + time.Millisecond)
+	f.now += 200 * time.Millisecond
+}
