Refuse the copy of a SYN without a route only after a newer read

A copy of a SYN that reached a host without the route was refused at once, though another host, which had read the route, may have forwarded the first SYN: the attempt ended while a target's answer was on its way, or an open flow got a reset.

Cause: as for open flows, the host took its last read for the newest state. Found by reading, not seen with real processes.

A copy is now dropped, the configuration is read, and the next copy is forwarded or refused by what was read. A first SYN is refused at once as before.

TestCopyOfASYNIsNotRefusedByAHostBehind failed before (no_route).

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -200,19 +200,21 @@
 }
 
 // handleNoRoute resets flows to an address without a route, so that the client need not
-// wait for a timeout: a new flow at once, an open one only if the configuration lacks its
-// route as of a time after its packet arrived. Until then the packet is dropped, since a
-// newer configuration, by which another host opened the flow, may have the route again. So
-// is a packet to an address that never had a route here. A RST is never answered.
+// wait for a timeout: a new flow at once, one that another host may have opened only if the
+// configuration lacks its route as of a time after its packet arrived. Until then the packet
+// is dropped, since a newer configuration may have the route. So is a packet of an open flow
+// to an address that never had a route here. A RST is never answered.
 func (e *Engine) handleNoRoute(now time.Duration, p *Packet) Verdict {
 	e.removeFlow(p.key())
 	switch {
-	case p.SYN:
+	case p.SYN && !p.Retransmitted():
 		return replyReset(p, ReasonNoRoute)
-	case p.RST || !e.view.RemovedAddresses[p.Service]:
+	case p.RST || !p.SYN && !e.view.RemovedAddresses[p.Service]:
 		return Verdict{Reason: ReasonRouteUnknown}
 	case !e.unresolved.configReadSinceSeen(now, p) || !e.view.ConfigCertain:
 		return Verdict{Reason: ReasonRouteUnknown}
+	case p.SYN:
+		return replyReset(p, ReasonNoRoute)
 	}
 	return replyReset(p, ReasonRouteRemoved)
 }
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -65,8 +65,8 @@
 	ReasonNotReady Reason = "not_ready"
 	// ReasonNoRoute resets a new flow to an address without a route.
 	ReasonNoRoute Reason = "no_route"
-	// ReasonRouteUnknown drops a packet of an open flow to an address without a route here:
-	// another host may know a newer configuration that has one.
+	// ReasonRouteUnknown drops a packet of a flow that another host may have opened, to an
+	// address without a route here: a newer configuration may have one.
 	ReasonRouteUnknown Reason = "route_unknown"
 	// ReasonRouteRemoved resets an open flow whose route the configuration no longer has.
 	ReasonRouteRemoved Reason = "route_removed"
--- a/internal/coordination/steer/unresolved_test.go
+++ b/internal/coordination/steer/unresolved_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -147,6 +148,29 @@
 	require.Equal(t, ActionForward, next.retransmit().Action)
 }
 
+// Guards against refusals of a flow that another host is opening: a copy of its SYN reaches a
+// host that has not read the route yet, while the target's answer is on its way.
+func TestCopyOfASYNIsNotRefusedByAHostBehind(t *testing.T) {
+	for _, address := range []netip.AddrPort{proofAddress, unroutedAddress} {
+		f := newFixture(t, orderTarget(1, "a"), newTarget(2, "a", proofPool))
+		f.setProofRoute(2, false)
+		c := f.newClient(address)
+		syn := Packet{SYN: true, Seq: c.seq, Ack: 1, Raw: []byte("syn")}
+		require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, c.send(syn))
+		f.readConfigAgain()
+		syn.Ack = 2
+		verdict := c.send(syn)
+		require.Equal(t, ReasonNoRoute, verdict.Reason, "there is no route as of a time after the first copy")
+		require.Equal(t, ActionReset, verdict.Action)
+	}
+	f := newFixture(t, orderTarget(1, "a"), newTarget(2, "a", proofPool))
+	f.setProofRoute(2, false)
+	c := f.newClient(proofAddress)
+	require.Equal(t, ActionDrop, c.send(Packet{SYN: true, Seq: c.seq, Ack: 1, Raw: []byte("syn")}).Action)
+	f.setProofRoute(3, true)
+	require.Equal(t, ActionForward, c.send(Packet{SYN: true, Seq: c.seq, Ack: 2, Raw: []byte("syn")}).Action)
+}
+
 // readTargetsAgain is readConfigAgain for the targets.
 func (f *fixture) readTargetsAgain() {
 	require.True(f.t, f.engine.DrainReadRequests().Targets)
