Do not refuse a SYN that a target may have answered

A host refused a flow whose SYN it had forwarded, or that it saw first as a copy, when its own list had no target for it (any more): the flow may be open through another host, or at a target that this host has not read. And a retry that found no target was due again at once, so that one flow got a reset about every millisecond for 1.4 s.

Cause: what this host has read was taken for proof that no other host and no target has the flow. Found by reading, not seen with real processes.

Only a SYN that is new to the host is refused, at once as before.

TestForwardedSYNIsNotRefusedWhenAllTargetsHaveLeft and TestCopyOfASYNIsNotRefusedForLackOfTargets failed before.

--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -72,6 +72,10 @@
 	raw       [maxSYNSize]byte
 	size      int
 	startedAt time.Duration
+	// copied is set if the first packet seen here was a copy of the SYN.
+	copied bool
+	// stalled is set if the latest retry found no target.
+	stalled bool
 	// tried are the targets that the SYN was forwarded to, the latest last; lastAttemptAt
 	// is when it was forwarded to the latest.
 	tried         []*targetRecord
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -27,7 +27,7 @@
 	}
 	e.targets.totalLoad.syns++
 	f = newFlow(now, key, route)
-	f.pending = &pendingSYN{seq: p.Seq, pool: e.selectPool(route), startedAt: now}
+	f.pending = &pendingSYN{seq: p.Seq, pool: e.selectPool(route), startedAt: now, copied: p.Retransmitted()}
 	f.pending.size = copy(f.pending.raw[:], p.Raw)
 	if p.Retransmitted() {
 		return e.placeSYN(now, f, ReasonPlaced)
@@ -65,18 +65,32 @@
 	return e.retrySYN(now, f)
 }
 
-// retrySYN records the latest attempt as unanswered and makes another one.
+// retrySYN records the latest attempt as unanswered and makes another one. If no target can
+// take the SYN now, one may later.
 func (e *Engine) retrySYN(now time.Duration, f *flow) Verdict {
 	s := f.pending
+	if !s.stalled {
+		e.recordUnanswered(now, s)
+	}
+	verdict := e.forwardSYN(now, f, ReasonRetried)
+	s.stalled = verdict.Action != ActionForward
+	if s.stalled {
+		s.deadline = now + maxAttemptTimeout
+	}
+	return verdict
+}
+
+// recordUnanswered records that the latest attempt was not answered in time.
+func (e *Engine) recordUnanswered(now time.Duration, s *pendingSYN) {
 	n := len(s.tried)
-	if n > 0 {
-		e.account.Made(outcomes.Retrying)
-		e.targets.reaches.of(s.pool.ID).unanswered++
+	if n == 0 {
+		return
 	}
-	if n > 0 && n <= maxSuspectedAttempts {
+	e.account.Made(outcomes.Retrying)
+	e.targets.reaches.of(s.pool.ID).unanswered++
+	if n <= maxSuspectedAttempts {
 		e.targets.recordMiss(now, s.tried[n-1], false)
 	}
-	return e.forwardSYN(now, f, ReasonRetried)
 }
 
 // forwardSYN forwards a SYN to the best target that was not tried yet.
@@ -132,11 +146,19 @@
 	return refuse(f, ReasonNoTarget)
 }
 
-// refuse returns the verdict that resets a flow that is not open.
+// refuse returns the verdict that resets a flow that is not open. A flow that may be open is
+// left to the client's next copy of its SYN.
 func refuse(f *flow, reason Reason) Verdict {
+	if f.pending.mayBeOpen() {
+		return Verdict{Reason: reason}
+	}
 	return Verdict{Action: ActionReset, Reason: reason, Client: f.key.Caller, Service: f.key.Service}
 }
 
+// mayBeOpen reports whether the client may have opened the flow through another host: this
+// host has forwarded its SYN, or another one may have forwarded an earlier copy.
+func (s *pendingSYN) mayBeOpen() bool { return s.copied || len(s.tried) > 0 }
+
 // releaseAttempts removes the SYN from the load counts of the targets tried.
 func (s *pendingSYN) releaseAttempts() {
 	for _, r := range s.tried {
--- a/internal/coordination/steer/unresolved_test.go
+++ b/internal/coordination/steer/unresolved_test.go
@@ -177,3 +177,50 @@
 	f.engine.SetTargetsReadAt(f.now + time.Millisecond)
 	f.now += 200 * time.Millisecond
 }
+
+// leave has all order targets leave, as far as this host has read.
+func (f *fixture) leave(names ...string) {
+	f.directory.RemoveUnlisted(f.now, map[string]bool{})
+	for _, name := range names {
+		f.directory.Remove(f.now, name)
+	}
+	f.publish()
+}
+
+// Guards against refusals of a flow that may be open: its SYN was forwarded, and the client's
+// next packet may have gone through another host. It also guards against a reset each time
+// that the host looks for due work.
+func TestForwardedSYNIsNotRefusedWhenAllTargetsHaveLeft(t *testing.T) {
+	f := newFixture(t, orderTarget(1, "a"))
+	c := f.newClient(feedAddress)
+	require.Equal(t, ActionForward, c.sendSYN().Action)
+	f.leave("t1")
+	for range 100 {
+		f.now += time.Millisecond
+		for _, verdict := range f.engine.HandleDeadlines(f.now, nil) {
+			require.Equal(t, ActionDrop, verdict.Action)
+		}
+	}
+	at, pending := f.engine.NextDeadline()
+	require.True(t, !pending || at > f.now, "no work is due again at once")
+	f.directory.Put(f.now, orderTarget(2, "a"))
+	f.publish()
+	f.now += 100 * time.Millisecond
+	verdict := c.send(Packet{SYN: true, Seq: c.seq, Ack: 1, Raw: []byte("syn")})
+	require.Equal(t, ActionForward, verdict.Action, "the client's copy is served")
+}
+
+// Guards against refusals by a list of targets that is behind: another host may have
+// forwarded the first SYN to a target that this one has not read.
+func TestCopyOfASYNIsNotRefusedForLackOfTargets(t *testing.T) {
+	f := newFixture(t, orderTarget(1, "a"))
+	f.leave("t1")
+	c := f.newClient(feedAddress)
+	require.Equal(t, ActionReset, c.sendSYN().Action, "a first SYN is refused at once")
+	c = f.newClient(feedAddress)
+	syn := Packet{SYN: true, Seq: c.seq, Ack: 1, Raw: []byte("syn")}
+	require.Equal(t, Verdict{Reason: ReasonNoTarget}, c.send(syn))
+	f.directory.Put(f.now, orderTarget(2, "a"))
+	f.publish()
+	require.Equal(t, ActionForward, c.send(syn).Action)
+}
