--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -54,11 +54,13 @@
 	store   *platformtest.Store
 	server  *httptest.Server
 	backup  platformtest.Backup
-	hosts   []*host
-	running sync.WaitGroup
-	served  atomic.Int64
-	failed  atomic.Int64
-	faults  map[string]int
+	// oddValue is what the store sends in place of oddMark, nil for that itself.
+	oddValue atomic.Pointer[string]
+	hosts    []*host
+	running  sync.WaitGroup
+	served   atomic.Int64
+	failed   atomic.Int64
+	faults   map[string]int
 
 	mu              sync.Mutex
 	violations      []string
@@ -112,7 +114,7 @@
 		t: t, seed: seed, builds: builds, network: network, store: platformtest.NewStore(), faults: make(map[string]int),
 		runCounts: make(map[string]int), openingTargets: make(map[netip.AddrPort][]string),
 	}
-	b.server = httptest.NewServer(b.store)
+	b.server = httptest.NewServer(http.HandlerFunc(b.serveStore))
 	t.Cleanup(b.server.Close)
 	b.configure()
 	for range targets {
