Let an unreadable entry leave only its own target in doubt

For as long as one entry among the targets could not be read, each host took its list for incomplete: new flows of a service without targets got no answer instead of a refusal, and flows of targets that had ended were never reset.

An unreadable entry names no target to use; only flows with the cookie of its own id may still have one. The view now tells these cookies, and is complete otherwise. An entry under a name that is no target's is ignored.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -190,7 +190,7 @@
 // one that names a target of another pool, and one of a target that may have started after
 // the targets were last read, which another host may know.
 func (e *Engine) handleUnknownCookie(now time.Duration, p *Packet) Verdict {
-	if !e.view.Complete || p.RST || e.view.HasTarget(p.Cookie) {
+	if p.RST || e.view.MayRun(p.Cookie) {
 		return Verdict{Reason: ReasonUnknownCookie}
 	}
 	if !e.unresolved.targetsReadSinceSeen(now, p) {
--- a/internal/coordination/steer/engine_test.go
+++ b/internal/coordination/steer/engine_test.go
@@ -240,6 +240,22 @@
 	require.Equal(t, ReasonNoTarget, verdict.Reason)
 }
 
+// Guards against silence towards callers for as long as one entry can't be read.
+func TestUnreadableEntryDelaysNoRefusalAndNoReset(t *testing.T) {
+	f := newFixture(t, orderTarget(1, "a"))
+	f.directory.RemoveUnlisted(f.now, map[string]bool{"t1": true})
+	f.directory.PutUnreadable(f.now, "t9", orderTarget(9, "a").ID)
+	f.publish()
+	require.Equal(t, ActionReset, f.newClient(proofAddress).sendSYN().Action, "the entry names no target to use")
+	gone, doubtful := f.newClient(feedAddress), f.newClient(feedAddress)
+	gone.cookie, doubtful.cookie = 77, orderTarget(9, "a").ID.Cookie()
+	require.Equal(t, ActionDrop, gone.sendRequest().Action)
+	require.Equal(t, ActionDrop, doubtful.sendRequest().Action)
+	f.readTargetsAgain()
+	require.Equal(t, ReasonTargetUnknown, gone.retransmit().Reason)
+	require.Equal(t, ActionDrop, doubtful.retransmit().Action, "the target may be running")
+}
+
 func TestFlowsOfDownTargetAreReset(t *testing.T) {
 	f := newFixture(t, orderTarget(1, "a"), orderTarget(2, "a"))
 	waiting, idle := f.establishAt(feedAddress, "t1"), f.establishAt(feedAddress, "t1")
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -53,7 +53,7 @@
 	}
 	target, err := platform.DecodeTarget(object.Key, object.Value)
 	if err != nil {
-		c.directory.PutUnreadable(now, object.Key)
+		c.recordUnreadable(now, object.Key)
 		c.edge.log.Warn("target entry not read", "target", object.Key, "revision", object.Revision, "error", err.Error())
 		return
 	}
@@ -65,3 +65,11 @@
 	c.edge.log.Info("target", "target", target.Name, "pool", string(target.Pool), "domain", string(target.Domain),
 		"draining", target.Draining, "revision", object.Revision)
 }
+
+// recordUnreadable records that the entry with a name could not be decoded. One whose name no
+// target can have is of no meaning.
+func (c *control) recordUnreadable(now time.Duration, name string) {
+	if id, err := platform.ParseTargetID(name); err == nil {
+		c.directory.PutUnreadable(now, name, id)
+	}
+}
--- a/internal/state/catalog/directory.go
+++ b/internal/state/catalog/directory.go
@@ -42,9 +42,9 @@
 	// removedAddresses are the addresses that lost their route in a later
 	// configuration version.
 	removedAddresses map[netip.AddrPort]bool
-	// unreadable holds the names of entries that could not be decoded; a target may
-	// be running under such a name.
-	unreadable map[string]bool
+	// unreadable holds the targets whose entries could not be decoded, by name; they may be
+	// running.
+	unreadable map[string]TargetID
 	// graceUntil is the end of the grace period in which a missing entry does not
 	// prove that its target is gone.
 	graceUntil time.Duration
@@ -85,7 +85,7 @@
 		formerPools: make(map[netip.AddrPort][]PoolID),
 
 		removedAddresses: make(map[netip.AddrPort]bool),
-		unreadable:       make(map[string]bool),
+		unreadable:       make(map[string]TargetID),
 		heldBack:         make(map[string]Target),
 		drains:           newDomainDrains(),
 		returnedAt:       make(map[state.DomainID]time.Duration),
@@ -179,11 +179,11 @@
 	return true
 }
 
-// PutUnreadable records an entry that could not be decoded. It adds no target, but a
-// target of this name may be running and have open flows.
-func (d *Directory) PutUnreadable(now time.Duration, name string) {
+// PutUnreadable records an entry that could not be decoded. It adds no target, but the one
+// with this name and ID may be running and have open flows.
+func (d *Directory) PutUnreadable(now time.Duration, name string, id TargetID) {
 	d.Remove(now, name)
-	d.unreadable[name] = true
+	d.unreadable[name] = id
 }
 
 // Remove removes the entry of a target. The target serves its open flows for
@@ -218,10 +218,19 @@
 			d.Remove(now, name)
 		}
 	}
-	maps.DeleteFunc(d.unreadable, func(name string, _ bool) bool { return !listed[name] })
+	maps.DeleteFunc(d.unreadable, func(name string, _ TargetID) bool { return !listed[name] })
 	maps.DeleteFunc(d.heldBack, func(name string, _ Target) bool { return !listed[name] })
 }
 
+// unreadableCookies returns the cookies of the targets whose entries could not be decoded.
+func (d *Directory) unreadableCookies() map[Cookie]bool {
+	cookies := make(map[Cookie]bool, len(d.unreadable))
+	for _, id := range d.unreadable {
+		cookies[id.Cookie()] = true
+	}
+	return cookies
+}
+
 // Targets returns the number of targets with an entry.
 func (d *Directory) Targets() int { return len(d.targets) }
 
@@ -238,7 +247,8 @@
 		DrainsKnown:      d.drainsKnown(now),
 		DrainedDomains:   maps.Clone(d.drains.drained),
 		ConfigCertain:    now >= d.doubtUntil,
-		Complete:         d.listed && now >= d.graceUntil && len(d.unreadable) == 0,
+		Complete:         d.listed && now >= d.graceUntil,
+		Unreadable:       d.unreadableCookies(),
 		SlowStarts:       len(d.config.SlowStarts) > 0,
 		RemovedAddresses: d.removedAddresses,
 		Routes:           make(map[netip.AddrPort]*RouteEntry, len(d.config.Routes)),
--- a/internal/state/catalog/view.go
+++ b/internal/state/catalog/view.go
@@ -70,9 +70,10 @@
 	// Listed reports whether the complete list of targets has been read at least
 	// once.
 	Listed bool
-	// Complete reports whether every running target is known, so that an unknown
-	// cookie belongs to a target that no longer exists.
+	// Complete reports whether every running target is known, but for those of Unreadable.
 	Complete bool
+	// Unreadable are the cookies of targets whose entries could not be decoded.
+	Unreadable map[Cookie]bool
 	// ConfigCertain reports whether the newest read of the configuration had the newest
 	// acknowledged one. A store that was just restored from a backup may have lost it.
 	ConfigCertain bool
@@ -99,6 +100,11 @@
 	return false
 }
 
+// MayRun reports whether a running target may have the cookie.
+func (v *View) MayRun(cookie Cookie) bool {
+	return !v.Complete || v.Unreadable[cookie] || v.HasTarget(cookie)
+}
+
 // CanDecide reports whether the view is sufficient to decide about packets: a
 // configuration and the drained domains are known, and either the complete list of targets was read or at
 // least one target takes new flows. It may be called on a nil view.
