--- a/internal/protocol/platformapi/binding.go
+++ b/internal/protocol/platformapi/binding.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 
+	"github.com/guavawharf/guavawharf/internal/protocol/jsondepth"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 )
 
@@ -47,7 +48,11 @@
 // DecodeObject decodes the response to a get or a put.
 func (Protocol) DecodeObject(body []byte) (objects.Object, error) {
 	var object objects.Object
+	body, pruned := jsondepth.Prune(body, maxNesting)
 	err := json.Unmarshal(body, &object)
+	if pruned {
+		dropPruned(&object)
+	}
 	return object, err
 }
 
@@ -57,6 +62,25 @@
 // DecodePage decodes the response to a list or a watch.
 func (Protocol) DecodePage(body []byte) (objects.Page, error) {
 	var page objects.Page
+	body, pruned := jsondepth.Prune(body, maxNesting)
 	err := json.Unmarshal(body, &page)
+	if !pruned {
+		return page, err
+	}
+	for i := range page.Objects {
+		dropPruned(&page.Objects[i])
+	}
 	return page, err
 }
+
+// maxNesting is the deepest nesting of arrays and objects in a response, 3 levels of which
+// are around the values.
+const maxNesting = 35
+
+// dropPruned leaves nothing of a value that was nested too deeply but a text that is no
+// object of this system.
+func dropPruned(object *objects.Object) {
+	if jsondepth.HasPlaceholder(object.Value) {
+		object.Value = json.RawMessage(jsondepth.Placeholder)
+	}
+}
