Refuse TOML documents that are nested more than 32 levels deep

A release note of the greatest size (512 KB) whose dotted key has a quarter of a million parts took 242 MB of stack and heap to decode, three times the memory of the smallest host.

TestDeeplyNestedDocumentIsRefused failed before.

--- a/internal/protocol/tomldoc/table.go
+++ b/internal/protocol/tomldoc/table.go
@@ -26,6 +26,9 @@
 // Parse returns the root table of a document. If the document has a syntax
 // error, that is the only issue and the table is nil.
 func Parse(data []byte) (*Table, Issues) {
+	if issues := checkNesting(data); len(issues) > 0 {
+		return nil, issues
+	}
 	values := make(map[string]any)
 	if err := toml.Unmarshal(data, &values); err != nil {
 		return nil, Issues{newSyntaxIssue(err)}
