Ask a restarted target for its flows instead of resetting them

Cause: a host that learns of a restart can't tell flows that ended with it from those that were opened since, and reset all that awaited an answer to an idempotent request.

It now forwards the client's latest packet without data again. A target that does not hold the flow resets it itself; for one that does it is a duplicate. Flows of other requests are asked for, too.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -25,8 +25,8 @@
 	nextSweep time.Duration
 	// overloadChanges collects entries until the next DrainOverloadChanges.
 	overloadChanges []OverloadChange
-	// resets are the verdicts to return from the next HandleDeadlines.
-	resets []Verdict
+	// queued are the verdicts to return from the next HandleDeadlines.
+	queued []Verdict
 	// unresolved are the flows whose route or target is not known.
 	unresolved unresolvedFlows
 	// handshakeTime is the HandshakeTime of the verdict on the current packet.
@@ -79,9 +79,9 @@
 	}
 }
 
-// handleRestart discards what was observed of a target before its restart. The restart
-// ended the target's flows; those that await an answer to an idempotent request are
-// reset at once so that their clients retry.
+// handleRestart discards what was observed of a target before its restart. Of the flows that
+// await an answer from it some ended with the restart, and others were opened since, which
+// this host can't tell apart: it may learn of the restart seconds later.
 func (e *Engine) handleRestart(now time.Duration, r *targetRecord, target *catalog.Target) {
 	r.startedAt = target.StartMillis
 	r.address = target.Address
@@ -90,12 +90,29 @@
 	r.lastAnswer = now
 	r.warmUpUntil = now + target.WarmUp
 	for _, f := range e.flows {
-		if f.target == r && f.waiting && f.idempotent {
-			e.queueReset(now, f, ReasonTargetRestarted)
+		if f.target == r && f.waiting {
+			e.queueProbe(f, target)
 		}
 	}
 }
 
+// queueProbe has the next HandleDeadlines forward the client's latest packet without data
+// again. A target that does not hold the flow answers the client with a RST, so that the
+// client need not wait for a timeout; one that holds it takes the packet for a duplicate.
+func (e *Engine) queueProbe(f *flow, target *catalog.Target) {
+	if f.bareSize == 0 {
+		return
+	}
+	e.queued = append(e.queued, Verdict{
+		Action:  ActionForward,
+		Reason:  ReasonTargetRestarted,
+		Target:  target,
+		Client:  f.key.Caller,
+		Service: f.key.Service,
+		Raw:     f.barePacket[:f.bareSize],
+	})
+}
+
 // RecordCheck records the result of a check.
 func (e *Engine) RecordCheck(now time.Duration, target catalog.TargetID, outcome CheckOutcome) {
 	r := e.targets.byID[target]
@@ -122,7 +139,7 @@
 
 // queueReset removes a flow and has the next HandleDeadlines return its reset.
 func (e *Engine) queueReset(now time.Duration, f *flow, reason Reason) {
-	e.resets = append(e.resets, Verdict{
+	e.queued = append(e.queued, Verdict{
 		Action:   ActionReset,
 		Reason:   reason,
 		Client:   f.key.Caller,
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -8,8 +8,8 @@
 	"github.com/guavawharf/guavawharf/internal/state/catalog"
 )
 
-// maxSYNSize is the buffer size for a SYN in bytes: it carries no data.
-const maxSYNSize = 64
+// maxBareSize is the buffer size for a packet without data, such as a SYN, in bytes.
+const maxBareSize = 64
 
 // flow is the state that the host keeps of one flow.
 type flow struct {
@@ -49,6 +49,9 @@
 	// the number of its bytes in the first packet that acknowledges any, 0 if it is not known.
 	requestAck uint32
 	answerSize uint32
+	// barePacket holds the bareSize bytes of the client's latest packet without data.
+	barePacket [maxBareSize]byte
+	bareSize   int
 	// objective and priority are those of the route.
 	objective time.Duration
 	priority  int
@@ -69,7 +72,7 @@
 type pendingSYN struct {
 	seq       uint32
 	pool      *catalog.Pool
-	raw       [maxSYNSize]byte
+	raw       [maxBareSize]byte
 	size      int
 	startedAt time.Duration
 	// copied is set if the first packet seen here was a copy of the SYN.
@@ -106,6 +109,9 @@
 func (f *flow) observe(now time.Duration, p *Packet) flowSignal {
 	sinceLast := now - f.lastSeen
 	f.lastSeen = now
+	if p.Length == 0 {
+		f.bareSize = copy(f.barePacket[:], p.Raw)
+	}
 	if p.Length > 0 && seqAfter(p.Seq+uint32(p.Length), f.nextSeq) {
 		return f.observeData(now, p)
 	}
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -169,7 +169,7 @@
 // NextDeadline returns when HandleDeadlines must run next, 0 for at once; ok is false
 // if nothing is pending.
 func (e *Engine) NextDeadline() (at time.Duration, ok bool) {
-	if len(e.resets) > 0 {
+	if len(e.queued) > 0 {
 		return 0, true
 	}
 	at, ok = e.targets.nextRecheck()
@@ -183,7 +183,7 @@
 
 // HandleDeadlines retries the SYNs whose latest attempt has timed out, requests rechecks
 // of down targets, removes idle flows, and appends the resulting verdicts and the queued
-// resets to verdicts. Call it only after all packets that have arrived were passed to
+// ones to verdicts. Call it only after all packets that have arrived were passed to
 // HandlePacket.
 func (e *Engine) HandleDeadlines(now time.Duration, verdicts []Verdict) []Verdict {
 	for key, f := range e.pending {
@@ -202,8 +202,8 @@
 		verdicts = append(verdicts, e.retrySYN(now, f))
 	}
 	e.targets.recheckDown(now)
-	verdicts = append(verdicts, e.resets...)
-	e.resets = e.resets[:0]
+	verdicts = append(verdicts, e.queued...)
+	e.queued = e.queued[:0]
 	e.sweep(now)
 	return verdicts
 }
--- a/internal/coordination/steer/types.go
+++ b/internal/coordination/steer/types.go
@@ -89,7 +89,8 @@
 	ReasonTargetUnknown Reason = "target_unknown"
 	// ReasonTargetSilent resets a flow whose target is down.
 	ReasonTargetSilent Reason = "target_silent"
-	// ReasonTargetRestarted resets a flow that awaits an answer from a restarted target.
+	// ReasonTargetRestarted forwards a packet without data again, to a target that has
+	// restarted, of a flow that awaits its answer.
 	ReasonTargetRestarted Reason = "target_restarted"
 )
 
