--- a/internal/coordination/steer/selection.go
+++ b/internal/coordination/steer/selection.go
@@ -9,7 +9,8 @@
 // selectTarget returns the target of the pool with the lowest cost that was not tried
 // yet. Targets in their slow start are left to the flows that no other target can take. If
 // all are to be avoided it returns the cheapest anyway: a wrong suspicion must not refuse
-// flows that could be served.
+// flows that could be served. Where slow starts are shared out, that holds for this host's
+// share only.
 func (e *Engine) selectTarget(now time.Duration, pool *catalog.Pool, tried []*targetRecord) (*catalog.Target, *targetRecord) {
 	choose, cost := e.randomCheaper, e.cost
 	if e.usesEstimates(pool) {
@@ -47,10 +48,14 @@
 	return best.target, best.record
 }
 
-// slowStart reports whether the target bears few requests a second since it has started.
-// One that was down may have, before its entry tells.
+// slowStart reports whether the target may bear few requests a second since it has started.
+// One that was down may have, before its entry tells, and one that is down before a check
+// tells.
 func (r *targetRecord) slowStart(now time.Duration, target *catalog.Target) bool {
-	return target.SlowStart.Length > 0 && now < max(target.SlowUntil, r.upSince+target.SlowStart.Length)
+	if target.SlowStart.Length == 0 {
+		return false
+	}
+	return r.down || now < max(target.SlowUntil, r.upSince+target.SlowStart.Length)
 }
 
 // ownsSlowStart reports whether this host may send the target, which is in its slow start, a
--- a/internal/coordination/steer/selection_test.go
+++ b/internal/coordination/steer/selection_test.go
@@ -296,6 +296,21 @@
 	require.GreaterOrEqual(t, placed, targets*perSecond*7/10)
 }
 
+// Guards against all hosts sending what they have to targets that come back cold (review case
+// 3): a target that is down may have started again before a check or its entry tells.
+func TestTargetsThatAreDownGetOnlyTheirShares(t *testing.T) {
+	f := newShareFixture(t, shareHost)
+	f.now += 30 * time.Second
+	for _, name := range []string{"t1", "t2"} {
+		f.establishAt(feedAddress, name)
+		f.engine.RecordCheck(f.now, f.suspect(name), CheckTimedOut)
+	}
+	const targets, perSecond = 2, 4
+	placed := f.placedInASecond()
+	require.LessOrEqual(t, placed, targets*(perSecond*3/4+2))
+	require.Positive(t, placed, "a wrong suspicion must not refuse every flow")
+}
+
 func TestHostWithoutAShareRefuses(t *testing.T) {
 	require.Zero(t, newShareFixture(t).placedInASecond(), "no list is known")
 	require.Zero(t, newShareFixture(t, otherHost).placedInASecond())
