Read restarts of targets at once where their slow starts are limited

Where slow starts are limited and shared out, hosts that read the store now wait there for changes of the targets, and tell those that read from them, as they do for drains.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -118,6 +118,15 @@
 // Era is the store's era to which Revision belongs.
 func (f *Follower) Era() objects.Era { return f.era }
 
+// SetWatch sets how long a poll of the store waits for a change, 0 to return at once. The
+// first poll that waits is due at once.
+func (f *Follower) SetWatch(now, wait time.Duration) {
+	if f.listed && f.settings.Watch == 0 && wait > 0 {
+		f.dueAt = min(f.dueAt, now)
+	}
+	f.settings.Watch = wait
+}
+
 // PollSoon makes the next poll due at once, or MinPollInterval after the start of the
 // previous call, and directs it to the store, which has the newest data. It does nothing
 // before the first list and while the store fails.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -42,7 +42,9 @@
 	config  *follow.Follower
 	targets *follow.Follower
 	drains  *follow.Follower
-	results chan readResult
+	// targetsWatched is set while changes of the targets are read at once.
+	targetsWatched bool
+	results        chan readResult
 	// newerConfigs are answers to requestNewerConfig.
 	newerConfigs chan newerConfig
 	// configValue is the encoded configuration in force.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -44,6 +44,8 @@
 	seeds   []netip.AddrPort
 	// drainBound is the host's bound for drains of failure domains, 0 if it reads none.
 	drainBound time.Duration
+	// targetBound is the host's bound for changes of targets, 0 for one second.
+	targetBound time.Duration
 	// sharesSlowStarts has the hosts share out the slow starts of targets.
 	sharesSlowStarts bool
 	running          *Edge
@@ -128,6 +130,9 @@
 		ChangeBound:  time.Second, DrainBound: time.Second, LeaveDeadline: 3 * time.Second, MaxFlowAge: time.Minute,
 		DomainDrainBound: b.drainBound,
 	}
+	if b.targetBound > 0 {
+		settings.DrainBound = b.targetBound
+	}
 	if b.sharesSlowStarts {
 		settings.SlowStartOverage, settings.SlowStartSlack = 1.5, 5
 	}
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/guavawharf/guavawharf/internal/coordination/follow"
+	"github.com/guavawharf/guavawharf/internal/state/catalog"
 	"github.com/guavawharf/guavawharf/internal/state/objects"
 	"github.com/guavawharf/guavawharf/platform"
 )
@@ -25,6 +26,7 @@
 		}
 		if c.directory.SetConfig(config) {
 			changed = true
+			c.watchTargets(now, config)
 			c.configValue = object.Value
 			c.edge.log.Info("configuration in force", "config", config.Version, "revision", object.Revision, "routes", len(config.Routes))
 		}
@@ -32,8 +34,24 @@
 	return changed
 }
 
+// targetWatchShare sets how long a poll of the targets waits for a change, as a share of the
+// bound on drains of targets.
+const targetWatchShare = 0.2
+
+// watchTargets has changes of the targets read at once if the configuration limits their slow
+// starts: a target that starts again under its name must not get its usual flows until the
+// next poll.
+func (c *control) watchTargets(now time.Duration, config catalog.Config) {
+	c.targetsWatched = len(config.SlowStarts) > 0 && c.edge.slowStartBound().Enabled()
+	wait := time.Duration(0)
+	if c.targetsWatched {
+		wait = share(c.edge.settings.DrainBound, targetWatchShare)
+	}
+	c.targets.SetWatch(now, wait)
+}
+
 // applyTargets updates the directory with the entries of targets and reports whether
-// any changed.
+// any changed. If the targets are watched, the readers of this host are told at once.
 func (c *control) applyTargets(now time.Duration, change follow.Change) bool {
 	for _, object := range change.Objects {
 		c.applyTarget(now, object)
@@ -41,7 +59,11 @@
 	if change.AllKeys != nil {
 		c.directory.RemoveUnlisted(now, change.AllKeys)
 	}
-	return len(change.Objects) > 0 || change.AllKeys != nil
+	changed := len(change.Objects) > 0 || change.AllKeys != nil
+	if changed && c.targetsWatched {
+		c.tellReaders(platform.KindTargets)
+	}
+	return changed
 }
 
 // applyTarget updates the directory with one target's entry.
--- a/internal/edge/hostlist_test.go
+++ b/internal/edge/hostlist_test.go
@@ -46,3 +46,42 @@
 	time.Sleep(3 * first.settings().ChangeBound)
 	require.Nil(t, second.running.domainHosts.Load())
 }
+
+// Guards against a target that starts again under its name, and is never found down, getting
+// its usual flows until the next poll (review case 4), at hosts that read from another one too.
+func TestRestartOfATargetIsKnownAtOnceWhereSlowStartsAreLimited(t *testing.T) {
+	first := newTestBed(t)
+	first.store.LimitSlowStart(3)
+	first.configure(2, servedAddress)
+	first.sharesSlowStarts, first.targetBound = true, 10*time.Second
+	started := first.target(localTarget, "a")
+	first.start()
+	first.waitReady()
+	second, _ := newPeerBed(first)
+	second.sharesSlowStarts, second.targetBound = true, 10*time.Second
+	second.start()
+	second.waitReady()
+	second.eventually(func() bool { return second.logs.contains("changes are asked of another host") })
+	for start := 2; start < 6; start++ {
+		entry := started.Entry("taller", "a", "ready")
+		entry["born"], entry["warmup_left_ms"] = start, 2000
+		first.store.Put("servers", started.Name, entry)
+		written := time.Now()
+		for _, b := range []*testBed{first, second} {
+			b.eventually(func() bool { return b.running.startOf(started.Name) == int64(start) })
+		}
+		require.Less(t, time.Since(written), time.Second, "in the second that the limit is for")
+	}
+}
+
+// startOf returns the start time of a target in the view in force, in Unix milliseconds.
+func (e *Edge) startOf(target string) int64 {
+	for _, pool := range e.view.Load().Pools {
+		for _, known := range pool.All() {
+			if known.Name == target {
+				return known.StartMillis
+			}
+		}
+	}
+	return 0
+}
