Count a copy of a SYN for no packet of an open flow

A copy of a SYN that came to a host without the route has the configuration read. The flow may be opened after that read, by a later copy through another host, once the route is back; its packets were then reset here by the older read.

Copies of SYNs and packets of open flows are now remembered apart. TestReadSinceACopyOfTheSYNIsNoEvidenceAgainstTheOpenFlow failed before.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -50,7 +50,7 @@
 		targets:    newTargetTable(domain),
 		flows:      make(map[state.FlowKey]*flow),
 		pending:    make(map[state.FlowKey]*flow),
-		unresolved: unresolvedFlows{flows: make(sightings)},
+		unresolved: unresolvedFlows{flows: make(sightings), syns: make(sightings)},
 		resets:     make(sightings),
 	}
 }
@@ -183,14 +183,14 @@
 		return e.handleNoRoute(now, p)
 	}
 	if p.SYN {
-		e.unresolved.flows.forget(p.key())
+		e.unresolved.resolve(p)
 		return e.handleSYN(now, route, p)
 	}
 	target := route.Target(p.Cookie)
 	if target == nil {
 		return e.handleUnknownCookie(now, p)
 	}
-	e.unresolved.flows.forget(p.key())
+	e.unresolved.resolve(p)
 	e.handshakeTime = 0
 	if forward := e.observeEstablished(now, route, target, p); !forward {
 		verdict := replyReset(p, ReasonTargetSilent)
--- a/internal/coordination/steer/sweep.go
+++ b/internal/coordination/steer/sweep.go
@@ -37,7 +37,7 @@
 	}
 	maps.DeleteFunc(e.targets.free, func(pool catalog.PoolID, _ *freeTargets) bool { return e.view.Pools[pool] == nil })
 	maps.DeleteFunc(e.targets.reaches, func(pool catalog.PoolID, _ *reach) bool { return e.view.Pools[pool] == nil })
-	e.unresolved.flows.sweep(now)
+	e.unresolved.sweep(now)
 	e.resets.sweep(now)
 }
 
--- a/internal/coordination/steer/unresolved.go
+++ b/internal/coordination/steer/unresolved.go
@@ -8,8 +8,10 @@
 // a route or at a target has ended proves nothing about the next one: the route may be back
 // by then, and the target may have started again under its ID.
 type unresolvedFlows struct {
-	// flows are the first packets that could not be placed.
+	// flows are the first packets of open flows that could not be placed, syns the first
+	// copies of SYNs: their flows may be opened after that.
 	flows sightings
+	syns  sightings
 	// configReadAt and targetsReadAt are when the newest answered reads of the configuration
 	// and of the targets were requested.
 	configReadAt  time.Duration
@@ -27,7 +29,11 @@
 // configReadSinceSeen reports whether a read of the configuration was requested after the
 // packet's flow was first seen, and has been answered. Otherwise it requests one.
 func (u *unresolvedFlows) configReadSinceSeen(now time.Duration, p *Packet) bool {
-	if u.configReadAt > u.flows.first(p.key(), p.Seq, now) {
+	seen := u.flows
+	if p.SYN {
+		seen = u.syns
+	}
+	if u.configReadAt > seen.first(p.key(), p.Seq, now) {
 		return true
 	}
 	u.requested.Config = true
@@ -43,6 +49,18 @@
 	return false
 }
 
+// resolve forgets what was seen of a flow whose packet can be placed.
+func (u *unresolvedFlows) resolve(p *Packet) {
+	u.flows.forget(p.key())
+	u.syns.forget(p.key())
+}
+
+// sweep removes what was seen too long ago.
+func (u *unresolvedFlows) sweep(now time.Duration) {
+	u.flows.sweep(now)
+	u.syns.sweep(now)
+}
+
 // SetConfigReadAt sets when the newest answered read of the configuration was requested.
 // The view in force must already hold the result of that read.
 func (e *Engine) SetConfigReadAt(at time.Duration) { e.unresolved.configReadAt = at }
--- a/internal/coordination/steer/unresolved_test.go
+++ b/internal/coordination/steer/unresolved_test.go
@@ -254,3 +254,15 @@
 	f.now += 200 * time.Millisecond
 	require.Equal(t, ReasonTargetSilent, elsewhere.retransmit().Reason, "the target is there as of a time after the flow was open")
 }
+
+// Guards against evidence from before a flow was opened: a copy of its SYN came here while
+// there was no route.
+func TestReadSinceACopyOfTheSYNIsNoEvidenceAgainstTheOpenFlow(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"), target)
+	f.setProofRoute(2, false)
+	c := f.openedElsewhere(target)
+	require.Equal(t, ActionDrop, c.send(Packet{SYN: true, Seq: c.seq, Ack: 1, Raw: []byte("syn")}).Action)
+	f.readConfigAgain()
+	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, c.sendRequest(), "the route may be back since the read")
+}
