Take a flow for placed here only if no other host can have placed it

A host that had forwarded a SYN to a target's old address, without an answer, took the flow for one of its own when the client went on, though a copy of the SYN had opened it through a host that knew the new address. Its checks of the old address then counted against the flow.

The client's first copy follows after 200 ms; only a flow that is open before that, and whose first packet here was not a copy, is certainly at the address that this host checks.

--- a/internal/coordination/steer/established.go
+++ b/internal/coordination/steer/established.go
@@ -69,6 +69,7 @@
 		if s := previous.pending; s != nil && contains(s.tried, r) {
 			f.synSeq = s.seq
 			f.placedHere = true
+			f.onlyPlacedHere = !s.copied && now-s.startedAt < minRetransmitDelay
 			e.recordSYNAnswer(now, s, r)
 		}
 		e.removeFlow(key)
--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -42,11 +42,12 @@
 	lastTransmission time.Duration
 	// limiter counts the flow as in flight, nil if it does not.
 	limiter *shed.Limiter
-	// placedHere is set if this host placed the flow, requests the number of requests seen on
-	// it. countedNew is set while the limiter counts it as a new flow.
-	placedHere bool
-	requests   int
-	countedNew bool
+	// placedHere is set if this host placed the flow, onlyPlacedHere if no other one can have
+	// forwarded a copy of its SYN. requests is the number of requests seen on it. countedNew is set while the limiter counts it as a new flow.
+	placedHere     bool
+	onlyPlacedHere bool
+	requests       int
+	countedNew     bool
 	// requestAt is when the request that the flow waits for was first seen.
 	requestAt time.Duration
 	// requestAck is the acknowledgement number before the answer to that request, answerSize
@@ -219,10 +220,10 @@
 // concerned reports whether the latest failed check of the target is about the start of the
 // target that holds the flow. A target may start again under its ID, at another address, and
 // other hosts may have opened flows there by an entry that this host has not read. A flow that
-// this host placed is at the address that it checks.
+// only this host can have placed is at the address that it checks.
 func (f *flow) concerned(targetsReadAt time.Duration) bool {
 	if f.target.lastFailure < f.openSince {
 		return false
 	}
-	return f.placedHere || f.resetBefore || targetsReadAt > f.openSince
+	return f.onlyPlacedHere || f.resetBefore || targetsReadAt > f.openSince
 }
