Ignore a check that was under way when its target started again

A check of a target's old address that ended after the new entry was read counted against the new start, and its flows were reset.

The outcome of such a check now shows nothing. TestCheckOfTheStartBeforeShowsNothing failed before.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -89,6 +89,7 @@
 func (e *Engine) handleRestart(now time.Duration, r *targetRecord, target *catalog.Target) {
 	r.startedAt = target.StartMillis
 	r.address = target.Address
+	r.checkOutdated = r.checking
 	e.targets.markUp(r)
 	r.missed = 0
 	r.lastAnswer = now
@@ -123,6 +124,11 @@
 	if r == nil {
 		return
 	}
+	if r.checkOutdated {
+		// The check was of the start before.
+		r.checkOutdated = false
+		outcome = CheckInconclusive
+	}
 	e.recordSuspicion(r, outcome)
 	if e.targets.recordCheck(now, r, outcome) {
 		e.resetStuckFlows(now, r)
--- a/internal/coordination/steer/targets.go
+++ b/internal/coordination/steer/targets.go
@@ -58,6 +58,8 @@
 	// start.
 	checking  bool
 	nextCheck time.Duration
+	// checkOutdated is set if the target has started again since the running check began.
+	checkOutdated bool
 	// down is set from a failed check until one passes; lastFailure is the time of the
 	// latest failed check, refused whether its outcome was CheckRefused.
 	down        bool
--- a/internal/coordination/steer/unresolved_test.go
+++ b/internal/coordination/steer/unresolved_test.go
@@ -266,3 +266,19 @@
 	f.readConfigAgain()
 	require.Equal(t, Verdict{Reason: ReasonRouteUnknown}, c.sendRequest(), "the route may be back since the read")
 }
+
+// Guards against a check of the start before that counts against the new one: it was under
+// way when the new entry was read.
+func TestCheckOfTheStartBeforeShowsNothing(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"), target)
+	id := f.suspect("t2")
+	target.StartMillis++
+	f.directory.Put(f.now, target)
+	f.publish()
+	f.engine.RecordCheck(f.now, id, CheckRefused)
+	require.False(t, f.engine.targets.byID[id].down)
+	f.now += checkInterval
+	f.engine.RecordCheck(f.now, f.suspect("t2"), CheckRefused)
+	require.True(t, f.engine.targets.byID[id].down)
+}
