Notice the restart of a target that takes no new flows

A target that started again under its id at another address, while it was draining or its failure domain was drained, went on being checked at its old address by hosts that knew it: flows that other hosts had opened at the new start before the drain were reset.

Cause: restarts were looked for among the targets that take new flows. TestRestartOfATargetWithoutNewFlowsIsNoticed failed before.

--- a/internal/coordination/steer/engine.go
+++ b/internal/coordination/steer/engine.go
@@ -76,7 +76,9 @@
 		for _, target := range pool.Offered {
 			r := e.targets.getOrCreate(target, now)
 			r.offeredIn = e.targets.views
-			if r.restarted(target) {
+		}
+		for target := range pool.Targets() {
+			if r := e.targets.byID[target.ID]; r != nil && r.restarted(target) {
 				e.handleRestart(now, r, target)
 			}
 		}
--- a/internal/coordination/steer/unresolved_test.go
+++ b/internal/coordination/steer/unresolved_test.go
@@ -282,3 +282,22 @@
 	f.engine.RecordCheck(f.now, f.suspect("t2"), CheckRefused)
 	require.True(t, f.engine.targets.byID[id].down)
 }
+
+// Guards against checks of the old address of a target that started again while it takes no
+// new flows (seen in the soak with seed 5235): its restart was not noticed.
+func TestRestartOfATargetWithoutNewFlowsIsNoticed(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"), target)
+	c := f.establishAt(proofAddress, "t2")
+	c.sendRequest()
+	f.suspect("t2")
+	f.runChecks(noneAlive)
+	target.StartMillis++
+	target.Address = netip.MustParseAddrPort("10.128.0.77:8080")
+	target.Draining = true
+	f.directory.Put(f.now, target)
+	f.publish()
+	r := f.engine.targets.byID[target.ID]
+	require.False(t, r.down)
+	require.Equal(t, target.Address, r.address)
+}
--- a/internal/state/catalog/view.go
+++ b/internal/state/catalog/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"net/netip"
 	"slices"
@@ -25,6 +26,9 @@
 // Target returns the target with the cookie, or nil.
 func (p *Pool) Target(cookie Cookie) *Target { return p.targets[cookie] }
 
+// Targets returns every target that may have open flows, in any order.
+func (p *Pool) Targets() iter.Seq[*Target] { return maps.Values(p.targets) }
+
 // All returns every target that may have open flows, sorted by name.
 func (p *Pool) All() []*Target {
 	return slices.SortedFunc(maps.Values(p.targets), func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
