--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -43,7 +43,8 @@
 	// limiter counts the flow as in flight, nil if it does not.
 	limiter *shed.Limiter
 	// placedHere is set if this host placed the flow, onlyPlacedHere if no other one can have
-	// forwarded a copy of its SYN. requests is the number of requests seen on it. countedNew is set while the limiter counts it as a new flow.
+	// forwarded a copy of its SYN. requests is the number of requests seen on it. countedNew
+	// is set while the limiter counts it as a new flow.
 	placedHere     bool
 	onlyPlacedHere bool
 	requests       int
--- a/internal/coordination/steer/sightings.go
+++ b/internal/coordination/steer/sightings.go
@@ -49,13 +49,6 @@
 	}
 }
 
-// forget removes the sighting of a flow.
-func (s sightings) forget(key state.FlowKey) {
-	if len(s) > 0 {
-		delete(s, key)
-	}
-}
-
 // sweep removes the sightings that are older than sightingLifetime.
 func (s sightings) sweep(now time.Duration) {
 	maps.DeleteFunc(s, func(_ state.FlowKey, known sighting) bool { return now-known.first > sightingLifetime })
--- a/internal/coordination/steer/unresolved.go
+++ b/internal/coordination/steer/unresolved.go
@@ -51,8 +51,12 @@
 
 // resolve forgets what was seen of a flow whose packet can be placed.
 func (u *unresolvedFlows) resolve(p *Packet) {
-	u.flows.forget(p.key())
-	u.syns.forget(p.key())
+	if len(u.flows)+len(u.syns) == 0 {
+		return
+	}
+	key := p.key()
+	delete(u.flows, key)
+	delete(u.syns, key)
 }
 
 // sweep removes what was seen too long ago.
@@ -65,7 +69,7 @@
 // The view in force must already hold the result of that read.
 func (e *Engine) SetConfigReadAt(at time.Duration) { e.unresolved.configReadAt = at }
 
-// SetTargetsReadAt sets when the latest answered read of the targets was requested.
+// SetTargetsReadAt sets when the newest answered read of the targets was requested.
 // The view in force must already hold the result of that read.
 func (e *Engine) SetTargetsReadAt(at time.Duration) { e.unresolved.targetsReadAt = at }
 
