--- a/internal/edge/forward_bench_test.go
+++ b/internal/edge/forward_bench_test.go
@@ -23,6 +23,8 @@
 	defer func() { _ = target.Close() }()
 	e := &Edge{settings: edgesettings.Settings{}, log: slog.New(slog.DiscardHandler), start: time.Now(), metrics: newHostMetrics(), firstReady: make(chan struct{})}
 	close(e.firstReady)
+	// The traffic loop asks for reports and reads; nobody handles them here.
+	e.control = &control{reporter: newReporter(e), overloaded: make(chan struct{}, 1)}
 	e.view.Store(benchView(target.LocalAddr().(*net.UDPAddr).AddrPort()))
 	socket, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
