--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -58,7 +58,7 @@
 
 // regressionSeeds are seeds that have failed before; CONTRIBUTING.md lists the
 // causes.
-var regressionSeeds = []uint64{2, 4, 27, 34, 5229, 5235, 5237, 5245, 5248, 5249}
+var regressionSeeds = []uint64{2, 4, 27, 34, 5229, 5235, 5237, 5245, 5248, 5249, 5307, 5311, 5326}
 
 // seedsToRun returns the fresh seeds that the flags ask for, or the regression seeds.
 func seedsToRun() []uint64 {
