Keep the platform's names out of a test of slow starts

TestPlatformNamesStayInThisPackage failed: the test of restarts wrote a field of a target's entry by its name. The stand-in target has it as a field now.

--- a/internal/edge/hostlist_test.go
+++ b/internal/edge/hostlist_test.go
@@ -63,9 +63,8 @@
 	second.waitReady()
 	second.eventually(func() bool { return second.logs.contains("changes are asked of another host") })
 	for start := 2; start < 6; start++ {
-		entry := started.Entry("taller", "a", "ready")
-		entry["born"], entry["warmup_left_ms"] = start, 2000
-		first.store.Put("servers", started.Name, entry)
+		started.Start, started.WarmUpMillis = int64(start), 2000
+		first.store.PutTarget(started, "taller", "a", false)
 		written := time.Now()
 		for _, b := range []*testBed{first, second} {
 			b.eventually(func() bool { return b.running.startOf(started.Name) == int64(start) })
