Take a flow with a copied SYN for one that another host may have placed

A host that had been frozen for 4 s read a flow's SYN, twelve copies and the packets that followed an answer through another host within one millisecond.

A copy that comes to this host shows that others may have got one, too. TestFlowWhoseSYNWasCopiedMayHaveBeenPlacedElsewhere failed before. A frozen host that has the SYN and no copy of it stays a gap, told in docs/design/unread.md.

--- a/internal/coordination/steer/flow.go
+++ b/internal/coordination/steer/flow.go
@@ -81,7 +81,8 @@
 	raw       [maxBareSize]byte
 	size      int
 	startedAt time.Duration
-	// copied is set if the first packet seen here was a copy of the SYN.
+	// copied is set if a copy of the SYN was seen here, first or later: another host may have
+	// forwarded one, too.
 	copied bool
 	// stalled is set if the latest retry found no target.
 	stalled bool
--- a/internal/coordination/steer/syn.go
+++ b/internal/coordination/steer/syn.go
@@ -58,6 +58,7 @@
 // handleSYNRetransmission retries a pending SYN if its latest attempt has timed out.
 func (e *Engine) handleSYNRetransmission(now time.Duration, f *flow) Verdict {
 	f.lastSeen = now
+	f.pending.copied = true
 	if now < f.pending.deadline {
 		// The latest attempt may still be answered.
 		return Verdict{Reason: ReasonRetried}
--- a/internal/coordination/steer/unresolved_test.go
+++ b/internal/coordination/steer/unresolved_test.go
@@ -330,3 +330,22 @@
 	f.now += 200 * time.Millisecond
 	require.Equal(t, ReasonTargetSilent, c.retransmit().Reason)
 }
+
+// Guards against a flow that counts as placed here alone since the host was held up (seen in
+// the soak with seed 5248): its SYN, copies of it and the packets after one was answered through
+// another host waited in the socket, and were read together.
+func TestFlowWhoseSYNWasCopiedMayHaveBeenPlacedElsewhere(t *testing.T) {
+	target := newTarget(2, "a", proofPool)
+	f := newFixture(t, orderTarget(1, "a"), target)
+	f.engine.SetTargetsReadAt(f.now)
+	f.now += 4 * time.Second
+	c := f.newClient(proofAddress)
+	c.sendSYN()
+	c.send(Packet{SYN: true, Seq: c.seq, Ack: 1, Raw: []byte("syn")})
+	require.Equal(t, ActionForward, c.confirmOpen(&target).Action)
+	c.sendRequest()
+	f.now += 200 * time.Millisecond
+	c.retransmit()
+	f.runChecks(noneAlive)
+	require.Empty(t, f.advance(0), "the checked address may not be the one of the flow's target")
+}
