--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,6 +11,7 @@
 
 var cases = map[string]func(folder string){
 	"foreign-entry": playForeignEntry,
+	"twin-entry":    playTwin,
 }
 
 func main() {
