--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(folder string){
 	"foreign-entry": playForeignEntry,
 	"twin-entry":    playTwin,
+	"cold-restart":  playColdRestart,
 }
 
 func main() {
