--- a/review/standin-2/load.go
+++ b/review/standin-2/load.go
@@ -16,8 +16,8 @@
 }
 
 var (
-	coreRoute  = route{"r-core", netip.MustParseAddrPort("198.18.0.1:8443"), "core", "unsafe"}
-	sheetRoute = route{"r-sheet", netip.MustParseAddrPort("198.18.0.2:8443"), "sheet", "download"}
+	coreRoute  = route{"r-core", netip.MustParseAddrPort("127.200.0.1:8443"), "core", "unsafe"}
+	sheetRoute = route{"r-sheet", netip.MustParseAddrPort("127.200.0.2:8443"), "sheet", "download"}
 )
 
 // putConfig writes a configuration with both routes. perSecond is the limit of a cold
